Add the base: frames, messages, peer connections, configuration and tools

Cause: the repository was empty. The programs need one authenticated, multiplexed connection type, one configuration model and one set of numbered codes and events before they can be written side by side.

Ruled out: pycapnp's RPC, because it is tied to asyncio and the project runs on trio; only its serialization is used. Generated Cap'n Proto code is not needed, since pycapnp reads the schema at import.

Before: nothing.

Conclusion: a late answer cannot match another call, because a stream number is never used twice on a connection.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: each module is one, run by ``make bench``."""
--- /dev/null
+++ b/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the protocols, checked with z3."""
--- /dev/null
+++ b/src/mustardfront/__init__.py
@@ -0,0 +1,1 @@
+"""A load balancer for expert-parallel model groups."""
--- /dev/null
+++ b/src/mustardfront/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""What processes decide and agree on: one package for each subject."""
--- /dev/null
+++ b/src/mustardfront/coordination/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Which rank holds which expert."""
--- /dev/null
+++ b/src/mustardfront/coordination/expertmap/__init__.py
@@ -0,0 +1,1 @@
+"""The switch of a group from one expert map to the next."""
--- /dev/null
+++ b/src/mustardfront/coordination/hosts/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's host list."""
--- /dev/null
+++ b/src/mustardfront/coordination/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""Non-idempotent requests run at most once."""
--- /dev/null
+++ b/src/mustardfront/coordination/kv/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's key-value service."""
--- /dev/null
+++ b/src/mustardfront/coordination/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits, queues, shedding and retry budgets."""
--- /dev/null
+++ b/src/mustardfront/coordination/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which group loads which model."""
--- /dev/null
+++ b/src/mustardfront/coordination/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash their upstreams."""
--- /dev/null
+++ b/src/mustardfront/coordination/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the upstream for a request."""
--- /dev/null
+++ b/src/mustardfront/events.py
@@ -0,0 +1,96 @@
+"""Numbered, structured log events; ``docs/log-events.md`` lists the same table."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from enum import IntEnum
+from typing import Any
+
+import eliot
+from eliot import FileDestination
+
+JsonValue = Any
+
+
+class Event(IntEnum):
+    """Event numbers. 1xx process, 2xx peers, 3xx requests, 4xx config, 5xx experts."""
+
+    PROCESS_STARTED = 100
+    PROCESS_READY = 101
+    PROCESS_DRAINING = 102
+    PROCESS_STOPPED = 103
+    SETTING_REFUSED = 104
+    TASK_FAILED = 105
+
+    PEER_CONNECTED = 200
+    PEER_CLOSED = 201
+    PEER_REFUSED = 202
+    PEER_BAD_MESSAGE = 203
+    LATE_MESSAGE_DROPPED = 204
+    PEER_SILENT = 205
+
+    ROUTE_CHOSEN = 300
+    REQUEST_FINISHED = 301
+    REQUEST_REFUSED = 302
+    REQUEST_RETRIED = 303
+    STREAM_RESUMED = 304
+    UPSTREAM_EJECTED = 305
+    UPSTREAM_RETURNED = 306
+    UPSTREAM_LEAVING = 307
+    UPSTREAM_STATE = 308
+    LIMIT_CHANGED = 309
+    CRASH_SUSPECTED = 310
+    REQUEST_HELD = 311
+    CLAIM_WRITTEN = 312
+    CLAIM_REFUSED = 313
+    PARTITION_OWNED = 314
+    PARTITION_RELEASED = 315
+
+    CONFIG_IN_FORCE = 400
+    CONFIG_STALE_IGNORED = 401
+    TICKET_ACCEPTED = 402
+    TICKET_REFUSED = 403
+    TICKET_UNKNOWN = 404
+    WATCHER_CHANGED = 405
+    STORE_UNAVAILABLE = 406
+    STORE_RETURNED = 407
+    HOSTS_CHANGED = 408
+
+    MAP_PLANNED = 500
+    MAP_PREPARED = 501
+    MAP_DECIDED = 502
+    MAP_KEPT = 503
+    COORDINATOR_CHANGED = 504
+    RANK_ORDER_REFUSED = 505
+
+    PLACEMENT_DECIDED = 600
+
+
+Listener = Callable[[Event, dict[str, JsonValue]], None]
+_listeners: list[Listener] = []
+
+
+def start_logging(program: str, **context: JsonValue) -> None:
+    """Write events as JSON lines to standard error, each with the program's name."""
+    eliot.add_destinations(FileDestination(file=sys.stderr))
+    eliot.add_global_fields(program=program, **context)
+
+
+def add_listener(listener: Listener) -> None:
+    """Also pass each event to ``listener``; ``explain`` keeps decisions this way."""
+    _listeners.append(listener)
+
+
+def remove_listener(listener: Listener) -> None:
+    """Stop passing events to ``listener``."""
+    _listeners.remove(listener)
+
+
+def log(event: Event, **fields: JsonValue) -> None:
+    """Write one numbered event with its fields."""
+    eliot.log_message(
+        message_type=event.name.lower().replace("_", "-"), event=int(event), **fields
+    )
+    for listener in _listeners:
+        listener(event, fields)
--- /dev/null
+++ b/src/mustardfront/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The programs, one package each."""
--- /dev/null
+++ b/src/mustardfront/programs/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The admin program."""
--- /dev/null
+++ b/src/mustardfront/programs/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The cli program."""
--- /dev/null
+++ b/src/mustardfront/programs/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry program."""
--- /dev/null
+++ b/src/mustardfront/programs/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The sidecar program."""
--- /dev/null
+++ b/src/mustardfront/protocol/_codec.py
@@ -0,0 +1,78 @@
+"""Cap'n Proto encoding of the messages."""
+
+from __future__ import annotations
+
+import dataclasses
+from importlib import resources
+from typing import Any, get_args
+
+import capnp
+
+from mustardfront.codes import Code
+from mustardfront.protocol._messages import Message
+from mustardfront.results import Err, Ok, Result
+
+capnp.remove_import_hook()
+_schema = capnp.load(str(resources.files("mustardfront.protocol") / "messages.capnp"))
+
+
+def _camel(name: str) -> str:
+    first, *rest = name.split("_")
+    return first + "".join(word.capitalize() for word in rest)
+
+
+_TYPES: dict[str, type[Any]] = {
+    kind.__name__[0].lower() + kind.__name__[1:]: kind for kind in get_args(Message)
+}
+_TAGS: dict[type[Any], str] = {kind: tag for tag, kind in _TYPES.items()}
+_FIELDS: dict[type[Any], tuple[tuple[str, str], ...]] = {
+    kind: tuple((f.name, _camel(f.name)) for f in dataclasses.fields(kind))
+    for kind in _TYPES.values()
+}
+# Fields that hold lists and need their own conversion.
+_PAIR_FIELDS = frozenset({"headers"})
+_LIST_FIELDS = frozenset({"fingerprints"})
+
+
+def encode(message: Message) -> bytes:
+    """Return the bytes of one message."""
+    kind = type(message)
+    envelope = _schema.Envelope.new_message()
+    body = envelope.init(_TAGS[kind])
+    for name, wire_name in _FIELDS[kind]:
+        value = getattr(message, name)
+        if name in _PAIR_FIELDS:
+            pairs = body.init(wire_name, len(value))
+            for slot, (key, text) in enumerate(value):
+                pairs[slot].name = key
+                pairs[slot].value = text
+        elif name in _LIST_FIELDS:
+            setattr(body, wire_name, list(value))
+        else:
+            setattr(body, wire_name, value)
+    return bytes(envelope.to_bytes())
+
+
+def decode(data: bytes) -> Result[Message]:
+    """Return the message in ``data``; Err(BAD_MESSAGE) when it is not one."""
+    try:
+        with _schema.Envelope.from_bytes(data) as envelope:
+            tag = str(envelope.which())
+            return Ok(_read(_TYPES[tag], getattr(envelope, tag)))
+    except (capnp.KjException, KeyError, UnicodeDecodeError, ValueError) as exc:
+        return Err(Code.BAD_MESSAGE, f"undecodable message: {exc}"[:200])
+
+
+def _read(kind: type[Any], body: Any) -> Any:
+    values: list[Any] = []
+    for name, wire_name in _FIELDS[kind]:
+        value = getattr(body, wire_name)
+        if name in _PAIR_FIELDS:
+            value = tuple((str(pair.name), str(pair.value)) for pair in value)
+        elif name in _LIST_FIELDS:
+            value = tuple(bytes(item) for item in value)
+        values.append(value)
+    return kind(*values)
+
+
+__all__ = ["decode", "encode"]
--- /dev/null
+++ b/src/mustardfront/protocol/_peer.py
@@ -0,0 +1,274 @@
+"""One authenticated, multiplexed connection between two processes."""
+
+from __future__ import annotations
+
+import hmac
+import secrets
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Final, TypeAlias, TypeVar
+
+import trio
+
+from mustardfront import events
+from mustardfront.codes import Code
+from mustardfront.constants import (
+    CONNECT_TIMEOUT_S,
+    HANDSHAKE_TIMEOUT_S,
+    PROTOCOL_VERSION,
+    PROTOCOL_VERSION_MIN,
+    SEND_QUEUE_MESSAGES,
+)
+from mustardfront.protocol._codec import decode, encode
+from mustardfront.protocol._messages import Fault, Hello, Message, Proof
+from mustardfront.results import Err, Ok, Result
+from mustardfront.transport import FrameStream
+
+_NONCE_BYTES: Final = 16
+M = TypeVar("M", Hello, Proof)
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Who this process is; ``instance`` differs at each start."""
+
+    role: str
+    host: str
+    place: str
+    instance: str
+    upstream: str = ""
+
+
+class PeerConnection:
+    """A connection after its handshake: a bounded send queue and a receive call."""
+
+    def __init__(
+        self,
+        frames: FrameStream,
+        remote: Hello,
+        queue: trio.MemorySendChannel[Message],
+    ) -> None:
+        self.remote = remote
+        self._frames = frames
+        self._queue = queue
+        self.closed: Err | None = None
+
+    async def send(self, message: Message) -> Result[None]:
+        """Queue a message; wait while the queue is full."""
+        if self.closed is not None:
+            return self.closed
+        try:
+            await self._queue.send(message)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return self.closed or Err(Code.CONNECTION_CLOSED, "connection closed")
+        return Ok(None)
+
+    def send_nowait(self, message: Message) -> bool:
+        """Queue a message unless the queue is full or closed; say whether it was."""
+        if self.closed is not None:
+            return False
+        try:
+            self._queue.send_nowait(message)
+        except (trio.WouldBlock, trio.BrokenResourceError, trio.ClosedResourceError):
+            return False
+        return True
+
+    async def receive(self) -> Result[Message]:
+        """Return the next message; Err when the connection is over.
+
+        A bad frame or message is answered with a ``Fault`` and ends the connection.
+        """
+        frame = await self._frames.receive()
+        if isinstance(frame, Err):
+            return self._fail(frame)
+        message = decode(frame.value)
+        if isinstance(message, Err):
+            return self._fail(message)
+        if isinstance(message.value, Fault):
+            fault = message.value
+            return self._fail(Err(Code.CONNECTION_CLOSED, f"peer fault: {fault.text}"))
+        return message
+
+    def _fail(self, err: Err) -> Err:
+        if err.code is not Code.CONNECTION_CLOSED:
+            events.log(
+                events.Event.PEER_BAD_MESSAGE,
+                peer=self.remote.instance,
+                code=int(err.code),
+                text=err.text,
+            )
+            self.send_nowait(Fault(int(err.code), err.text))
+        self.closed = err
+        return err
+
+
+Handler: TypeAlias = Callable[[PeerConnection], Awaitable[None]]
+
+
+@asynccontextmanager
+async def connect_peer(
+    address: tuple[str, int], identity: Identity, key: bytes
+) -> AsyncIterator[Result[PeerConnection]]:
+    """Connect to a peer at (IP, port) and yield the connection, or why not."""
+    try:
+        with trio.fail_after(CONNECT_TIMEOUT_S):
+            stream = await trio.open_tcp_stream(*address)
+    except (OSError, trio.TooSlowError) as exc:
+        yield Err(Code.CONNECT_FAILED, f"{address[0]}:{address[1]}: {exc}")
+        return
+    async with open_peer(stream, identity, key, dialled=True) as conn:
+        yield conn
+
+
+@asynccontextmanager
+async def open_peer(
+    stream: trio.abc.Stream, identity: Identity, key: bytes, *, dialled: bool
+) -> AsyncIterator[Result[PeerConnection]]:
+    """Do the handshake on a byte stream and run its writer while in the context."""
+    async with FrameStream(stream) as frames:
+        hello = await _handshake(frames, identity, key, dialled=dialled)
+        if isinstance(hello, Err):
+            events.log(events.Event.PEER_REFUSED, code=int(hello.code), text=hello.text)
+            yield hello
+            return
+        send, receive = trio.open_memory_channel[Message](SEND_QUEUE_MESSAGES)
+        conn = PeerConnection(frames, hello.value, send)
+        events.log(
+            events.Event.PEER_CONNECTED,
+            peer=hello.value.instance,
+            role=hello.value.role,
+            host=hello.value.host,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_write, frames, receive, conn)
+            try:
+                yield Ok(conn)
+            finally:
+                send.close()
+                # The writer drains what is queued, but not for a peer that is stuck.
+                nursery.cancel_scope.deadline = trio.current_time() + 1.0
+                if conn.closed is None:
+                    conn.closed = Err(Code.CONNECTION_CLOSED, "closed by this process")
+        events.log(
+            events.Event.PEER_CLOSED,
+            peer=hello.value.instance,
+            role=hello.value.role,
+            text=conn.closed.text,
+        )
+
+
+async def serve_peers(
+    address: tuple[str, int],
+    identity: Identity,
+    key: bytes,
+    handler: Handler,
+    *,
+    task_status: trio.TaskStatus[tuple[str, int]] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Accept peers at (IP, port) and run ``handler`` for each; report the address.
+
+    The port is bound without sharing, so a second process cannot take its place.
+    """
+
+    async def accept(stream: trio.SocketStream) -> None:
+        async with open_peer(stream, identity, key, dialled=False) as conn:
+            if isinstance(conn, Ok):
+                await handler(conn.value)
+
+    host, port = address
+    listeners = await trio.open_tcp_listeners(port, host=host)
+    bound = listeners[0].socket.getsockname()
+    task_status.started((bound[0], bound[1]))
+    await trio.serve_listeners(accept, listeners)
+
+
+async def _write(
+    frames: FrameStream,
+    queue: trio.MemoryReceiveChannel[Message],
+    conn: PeerConnection,
+) -> None:
+    async with queue:
+        async for message in queue:
+            batch = [encode(message)]
+            # Everything already queued goes out in the same write.
+            while len(batch) < SEND_QUEUE_MESSAGES:
+                try:
+                    batch.append(encode(queue.receive_nowait()))
+                except (trio.WouldBlock, trio.EndOfChannel):
+                    break
+            sent = await frames.send(batch)
+            if isinstance(sent, Err):
+                conn.closed = conn.closed or sent
+                return
+
+
+async def _handshake(
+    frames: FrameStream, identity: Identity, key: bytes, *, dialled: bool
+) -> Result[Hello]:
+    mine = Hello(
+        version=PROTOCOL_VERSION,
+        min_version=PROTOCOL_VERSION_MIN,
+        instance=identity.instance,
+        role=identity.role,
+        host=identity.host,
+        place=identity.place,
+        nonce=secrets.token_bytes(_NONCE_BYTES),
+        upstream=identity.upstream,
+    )
+    with trio.move_on_after(HANDSHAKE_TIMEOUT_S):
+        sent = await frames.send([encode(mine)])
+        if isinstance(sent, Err):
+            return sent
+        theirs = await _expect(frames, Hello)
+        if isinstance(theirs, Err):
+            return theirs
+        hello = theirs.value
+        if max(hello.min_version, PROTOCOL_VERSION_MIN) > min(
+            hello.version, PROTOCOL_VERSION
+        ):
+            text = f"peer speaks {hello.min_version} to {hello.version}"
+            return await _reject(frames, Err(Code.BAD_VERSION, text))
+        await frames.send([encode(Proof(_mac(key, mine, hello, dialled)))])
+        proof = await _expect(frames, Proof)
+        if isinstance(proof, Err):
+            return proof
+        if not hmac.compare_digest(
+            proof.value.mac, _mac(key, hello, mine, not dialled)
+        ):
+            return await _reject(frames, Err(Code.BAD_PROOF, "wrong shared key"))
+        return Ok(hello)
+    return Err(Code.HANDSHAKE_TIMEOUT, f"no handshake in {HANDSHAKE_TIMEOUT_S} s")
+
+
+async def _reject(frames: FrameStream, err: Err) -> Err:
+    await frames.send([encode(Fault(int(err.code), err.text))])
+    return err
+
+
+async def _expect(frames: FrameStream, kind: type[M]) -> Result[M]:
+    frame = await frames.receive()
+    if isinstance(frame, Err):
+        return frame
+    message = decode(frame.value)
+    if isinstance(message, Err):
+        return await _reject(frames, message)
+    if isinstance(message.value, Fault):
+        return Err(Code.CONNECTION_CLOSED, f"peer fault: {message.value.text}")
+    if not isinstance(message.value, kind):
+        text = f"{type(message.value).__name__} instead of {kind.__name__}"
+        return await _reject(frames, Err(Code.BAD_MESSAGE, text))
+    return Ok(message.value)
+
+
+def _mac(key: bytes, sender: Hello, receiver: Hello, sender_dialled: bool) -> bytes:
+    """Return the proof of ``sender``; the direction keeps a proof from being echoed."""
+    parts = (
+        b"dialled" if sender_dialled else b"accepted",
+        sender.nonce,
+        receiver.nonce,
+        sender.role.encode(),
+        sender.instance.encode(),
+        receiver.role.encode(),
+    )
+    return hmac.digest(key, b"\0".join(parts), "sha256")
--- /dev/null
+++ b/src/mustardfront/state/_config.py
@@ -0,0 +1,158 @@
+"""The configuration in force: frozen data with a version that only grows."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from types import MappingProxyType
+from typing import Literal, TypeAlias, TypeVar
+
+ServiceKind: TypeAlias = Literal["model", "plain"]
+AdminState: TypeAlias = Literal["active", "draining"]
+T = TypeVar("T")
+
+
+def _empty() -> Mapping[str, T]:
+    return MappingProxyType({})
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """An availability zone and its region."""
+
+    region: str
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    """A machine; when ``draining``, none of its upstreams gets new work."""
+
+    place: str
+    state: AdminState = "active"
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Calls of a plain service; the first match by method and path prefix counts."""
+
+    method: str
+    path: str
+    idempotent: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """What callers ask for: a model or a plain service."""
+
+    kind: ServiceKind
+    routes: tuple[Route, ...] = ()
+    model: str = ""
+    version: str = ""
+    deadline_ms: int = 30_000
+
+
+@dataclass(frozen=True, slots=True)
+class Team:
+    """A customer: the SHA-256 of its key, its share and its limits."""
+
+    key_sha256: str
+    services: tuple[str, ...] = ()
+    weight: int = 1
+    max_in_flight: int = 1_000
+    priority: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Upstream:
+    """A back end with its sidecar's peer address ``"IP:PORT"``."""
+
+    service: str
+    host: str
+    address: str
+    adapters: tuple[str, ...] = ()
+    role: str = "both"
+    checks_fence: bool = False
+    state: AdminState = "active"
+
+
+@dataclass(frozen=True, slots=True)
+class Group:
+    """An expert group: its ranks' upstreams in rank order, the first is its front."""
+
+    service: str
+    ranks: tuple[str, ...]
+    layers: int = 1
+    experts: int = 1
+    slots_per_rank: int = 1
+    expert_bytes: int = 1
+    skew_weight: float = 1.0
+    cost_weight: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Limits of a service, by the service's name."""
+
+    max_in_flight: int = 64
+    queue: int = 256
+    retry_ratio: float = 0.1
+    idempotency_retention_s: int = 3_600
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """Everything operators configured, merged up to ticket ``version``."""
+
+    version: int = 0
+    places: Mapping[str, Place] = field(default_factory=_empty)
+    hosts: Mapping[str, Host] = field(default_factory=_empty)
+    services: Mapping[str, Service] = field(default_factory=_empty)
+    teams: Mapping[str, Team] = field(default_factory=_empty)
+    upstreams: Mapping[str, Upstream] = field(default_factory=_empty)
+    groups: Mapping[str, Group] = field(default_factory=_empty)
+    limits: Mapping[str, Limits] = field(default_factory=_empty)
+
+    def place_of(self, upstream: str) -> str:
+        """Return the place of an upstream's host, or ``""`` when not known."""
+        entry = self.upstreams.get(upstream)
+        host = self.hosts.get(entry.host) if entry else None
+        return host.place if host else ""
+
+    def is_draining(self, upstream: str) -> bool:
+        """Say whether an operator drains the upstream or its host, or removed it."""
+        entry = self.upstreams.get(upstream)
+        if entry is None or entry.state == "draining":
+            return True
+        host = self.hosts.get(entry.host)
+        return host is None or host.state == "draining"
+
+    def fronts(self, service: str) -> tuple[str, ...]:
+        """Return the upstreams that take a service's requests, in name order.
+
+        The first rank of an expert group answers for the whole group.
+        """
+        behind = {rank for group in self.groups.values() for rank in group.ranks[1:]}
+        return tuple(
+            sorted(
+                name
+                for name, entry in self.upstreams.items()
+                if entry.service == service and name not in behind
+            )
+        )
+
+    def limits_of(self, service: str) -> Limits:
+        """Return a service's limits, or the defaults."""
+        return self.limits.get(service, Limits())
+
+
+SECTIONS: Mapping[str, type] = MappingProxyType(
+    {
+        "places": Place,
+        "hosts": Host,
+        "services": Service,
+        "teams": Team,
+        "upstreams": Upstream,
+        "groups": Group,
+        "limits": Limits,
+    }
+)
--- /dev/null
+++ b/src/mustardfront/transport/__init__.py
@@ -0,0 +1,5 @@
+"""Bytes between processes: frames over TCP."""
+
+from mustardfront.transport._frames import FrameStream
+
+__all__ = ["FrameStream"]
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,88 @@
+"""Tickets and the configuration they make."""
+
+import pytest
+
+from mustardfront.codes import Code
+from mustardfront.coordination.config import ConfigStore
+from mustardfront.results import Err, Ok
+from mustardfront.state import (
+    Config,
+    apply_ticket,
+    config_from_bytes,
+    config_to_bytes,
+    ticket_from_data,
+    ticket_to_data,
+)
+
+FIRST = {
+    "ticket": 1,
+    "author": "operator",
+    "reason": "first services",
+    "set": {
+        "places": {"bayern-a": {"region": "bayern"}},
+        "hosts": {"h1": {"place": "bayern-a"}},
+        "services": {"net-writer": {"kind": "model", "model": "net-writer"}},
+        "teams": {"lofts": {"key_sha256": "0" * 64, "services": ["net-writer"]}},
+        "upstreams": {
+            "w1": {"service": "net-writer", "host": "h1", "address": "127.0.0.1:1"},
+            "w2": {"service": "net-writer", "host": "h1", "address": "127.0.0.1:2"},
+        },
+        "groups": {"g1": {"service": "net-writer", "ranks": ["w1", "w2"]}},
+    },
+    "remove": {},
+}
+
+
+def first_config() -> Config:
+    ticket = ticket_from_data(FIRST)
+    assert isinstance(ticket, Ok)
+    cfg = apply_ticket(Config(), ticket.value)
+    assert isinstance(cfg, Ok)
+    return cfg.value
+
+
+def test_config_survives_encoding():
+    cfg = first_config()
+    assert config_from_bytes(config_to_bytes(cfg)) == Ok(cfg)
+
+
+def test_ticket_survives_its_file_format():
+    ticket = ticket_from_data(FIRST)
+    assert isinstance(ticket, Ok)
+    assert ticket_from_data(ticket_to_data(ticket.value)) == ticket
+
+
+def test_front_rank_stands_for_its_group():
+    assert first_config().fronts("net-writer") == ("w1",)
+
+
+@pytest.mark.parametrize(
+    ("change", "code"),
+    [
+        ({"ticket": 3}, Code.TICKET_OUT_OF_ORDER),
+        ({"ticket": 1}, Code.TICKET_OUT_OF_ORDER),
+        ({"remove": {"hosts": ["h1"]}}, Code.TICKET_INVALID_REFERENCE),
+        ({"remove": {"hosts": ["nowhere"]}}, Code.TICKET_INVALID_REFERENCE),
+        ({"set": {"limits": {"none": {}}}}, Code.TICKET_INVALID_REFERENCE),
+        ({"set": {"rooms": {}}}, Code.TICKET_MALFORMED),
+        ({"set": {"hosts": {"h2": {}}}}, Code.TICKET_MALFORMED),
+        ({"set": {"hosts": {"h2": {"place": 4}}}}, Code.TICKET_MALFORMED),
+        ({"ticket": "two"}, Code.TICKET_MALFORMED),
+    ],
+)
+def test_wrong_ticket_is_refused(change, code):
+    ticket = ticket_from_data(
+        {"ticket": 2, "author": "a", "reason": "r", "set": {}, "remove": {}} | change
+    )
+    if isinstance(ticket, Ok):
+        ticket = apply_ticket(first_config(), ticket.value)
+    assert isinstance(ticket, Err)
+    assert ticket.code is code
+
+
+def test_version_in_force_never_goes_back():
+    store = ConfigStore()
+    assert store.offer(Config(version=5), "test")
+    assert not store.offer(Config(version=4), "test")
+    assert not store.offer(Config(version=5), "test")
+    assert store.current.version == 5
--- /dev/null
+++ b/tests/test_protocol.py
@@ -0,0 +1,162 @@
+"""The connection between two processes: handshake, bad bytes, late answers."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+import trio.testing
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mustardfront.codes import Code
+from mustardfront.constants import FRAME_MAX_BYTES, STREAM_CREDIT_CHUNKS
+from mustardfront.protocol import (
+    Calls,
+    Chunk,
+    CrashReport,
+    End,
+    Identity,
+    PeerConnection,
+    Ping,
+    Request,
+    Started,
+    decode,
+    encode,
+    open_peer,
+)
+from mustardfront.results import Err, Ok, Result
+
+KEY = b"a-shared-test-key"
+ENTRY = Identity("entry", "host-a", "place-a", "instance-1")
+SIDECAR = Identity("sidecar", "host-b", "place-b", "instance-2", "upstream-1")
+
+
+def make_request(stream: int = 1) -> Request:
+    return Request(
+        stream=stream,
+        request_id="r-1",
+        attempt=1,
+        team="lofts",
+        service="ledger",
+        method="GET",
+        path="/quotes/7",
+        headers=(("accept", "application/json"),),
+        body=b"",
+        deadline_ms=1_000,
+        priority=1,
+    )
+
+
+@asynccontextmanager
+async def pair(
+    keys: tuple[bytes, bytes] = (KEY, KEY),
+) -> AsyncIterator[tuple[Result[PeerConnection], Result[PeerConnection]]]:
+    left, right = trio.testing.memory_stream_pair()
+    ends: dict[str, Result[PeerConnection]] = {}
+    accepted, done = trio.Event(), trio.Event()
+
+    async def accept() -> None:
+        async with open_peer(right, SIDECAR, keys[1], dialled=False) as conn:
+            ends["accepted"] = conn
+            accepted.set()
+            await done.wait()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(accept)
+        async with open_peer(left, ENTRY, keys[0], dialled=True) as conn:
+            await accepted.wait()
+            yield conn, ends["accepted"]
+            done.set()
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        make_request(),
+        Started(3),
+        Chunk(2**40, 7, b"\x00\xff"),
+        End(1, 1000, "answered", 8),
+        CrashReport("u", "i", (b"\x01" * 16, b"")),
+        Ping(1, 2),
+    ],
+)
+def test_message_survives_encoding(message):
+    assert decode(encode(message)) == Ok(message)
+
+
+@given(st.binary(max_size=200))
+def test_random_bytes_are_an_error_or_a_message(data):
+    # Guards against an exception type that would end more than one connection.
+    assert isinstance(decode(data), Ok | Err)
+
+
+async def test_handshake_tells_each_side_who_the_other_is(autojump_clock):
+    async with pair() as (near, far):
+        assert isinstance(near, Ok) and isinstance(far, Ok)
+        assert near.value.remote.upstream == "upstream-1"
+        assert far.value.remote.instance == "instance-1"
+
+
+async def test_wrong_key_is_refused_on_both_sides(autojump_clock):
+    async with pair((KEY, b"another-key-entirely")) as (near, far):
+        assert isinstance(near, Err) and isinstance(far, Err)
+        assert Code.BAD_PROOF in (near.code, far.code)
+
+
+@pytest.mark.parametrize(
+    ("data", "code"),
+    [
+        ((FRAME_MAX_BYTES + 1).to_bytes(4, "big"), Code.FRAME_TOO_LARGE),
+        (b"\x00\x00\x00\x03abc", Code.BAD_MESSAGE),
+        (b"GET / HTTP/1.1\r\n\r\n", Code.FRAME_TOO_LARGE),
+    ],
+)
+async def test_bad_bytes_end_the_handshake(autojump_clock, data, code):
+    left, right = trio.testing.memory_stream_pair()
+    await left.send_all(data)
+    async with open_peer(right, SIDECAR, KEY, dialled=False) as conn:
+        assert isinstance(conn, Err)
+        assert conn.code is code
+
+
+async def test_silent_peer_times_out(autojump_clock):
+    _left, right = trio.testing.memory_stream_pair()
+    async with open_peer(right, SIDECAR, KEY, dialled=False) as conn:
+        assert isinstance(conn, Err)
+        assert conn.code is Code.HANDSHAKE_TIMEOUT
+
+
+async def test_late_answer_reaches_no_other_call(autojump_clock):
+    async with pair() as (near, far):
+        assert isinstance(near, Ok) and isinstance(far, Ok)
+        calls = Calls(near.value)
+        with calls.open() as first:
+            pass
+        with calls.open() as second:
+            assert second.stream != first.stream
+            assert calls.dispatch(Chunk(first.stream, 0, b"late")) is None
+            calls.dispatch(End(second.stream, 1000, "answered", 0))
+            assert await second.next_reply() == End(second.stream, 1000, "answered", 0)
+
+
+async def test_lost_connection_is_an_error_for_each_call():
+    async with pair() as (near, _far):
+        assert isinstance(near, Ok)
+        calls = Calls(near.value)
+        with calls.open() as call:
+            calls.close()
+            reply = await call.next_reply()
+            assert isinstance(reply, Err) and reply.code is Code.PEER_LOST
+
+
+async def test_peer_over_its_credit_is_reported(autojump_clock):
+    async with pair() as (near, _far):
+        assert isinstance(near, Ok)
+        calls = Calls(near.value)
+        with calls.open() as call:
+            results = [
+                calls.dispatch(Chunk(call.stream, index, b"x"))
+                for index in range(STREAM_CREDIT_CHUNKS * 2)
+            ]
+            assert any(isinstance(result, Err) for result in results)
