--- a/src/mustardfront/coordination/balancing/_refine.py
+++ b/src/mustardfront/coordination/balancing/_refine.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
-import heapq
+import itertools
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from typing import Final
 
 from mustardfront.state import LayerMap
 
-# Only the ranks with the fewest tokens are tried as targets, which bounds a step's time.
-_TARGETS: Final = 6
+# Only so many ranks with the fewest tokens are tried as targets, and so many of those
+# that can take a replica without giving up their only copy of an expert.
+_TARGETS: Final = 4
+_ROOMY_TARGETS: Final = 8
+_REPLICAS_AT_ONCE: Final = 3
 # A drop costs no bytes, but must not outweigh every move when steps are compared.
 _DROP_COST: Final = 0.25
 _EPSILON: Final = 1e-9
@@ -46,6 +49,13 @@
             for held in layer
         ]
 
+    def is_roomy(self, rank: int) -> bool:
+        """Say whether the rank has a free slot or an expert held elsewhere too."""
+        held = self.held[rank]
+        return len(held) < self.slots or any(
+            len(self.holders[expert]) > 1 for expert in held
+        )
+
     def after(
         self, adds: tuple[tuple[int, int], ...], drops: tuple[tuple[int, int], ...]
     ) -> dict[int, float]:
@@ -121,17 +131,22 @@
         if max(loads.values()) >= limit:
             continue
         saved = sum(
-            state.loads[rank] ** 2 - load**2 for rank, load in loads.items()
+            [_excess(state.loads[rank]) - _excess(load) for rank, load in loads.items()]
         ) / max(len(change[0]), _DROP_COST)
         if saved > best_score:
             best, best_score = change, saved
     return best
 
 
+def _excess(load: float) -> float:
+    """Return how far a rank is over the mean; ranks under it delay nobody."""
+    return (load - 1.0) ** 2 if load > 1.0 else 0.0
+
+
 def _changes(state: _Layer, hot: int) -> Iterator[_Change]:
-    targets = heapq.nsmallest(
-        _TARGETS, range(len(state.loads)), key=state.loads.__getitem__
-    )
+    ranks = sorted(range(len(state.loads)), key=state.loads.__getitem__)
+    roomy = list(itertools.islice(filter(state.is_roomy, ranks), _ROOMY_TARGETS))
+    targets = sorted({*ranks[:_TARGETS], *roomy})
     for expert in state.held[hot]:
         replicated = len(state.holders[expert]) > 1
         if replicated:
@@ -140,6 +155,35 @@
             if target == hot or expert in state.held[target]:
                 continue
             yield from _changes_to(state, hot, expert, target)
+        yield from _several_replicas(state, expert, roomy)
+
+
+def _several_replicas(
+    state: _Layer, expert: int, roomy: Sequence[int]
+) -> Iterator[_Change]:
+    """Yield additions of two and three replicas where one alone would not fit."""
+    drops: list[tuple[int, int]] = []
+    dropped: set[int] = set()
+    adds: list[tuple[int, int]] = []
+    for target in roomy:
+        if expert in state.held[target]:
+            continue
+        if len(state.held[target]) >= state.slots:
+            victims = [
+                other
+                for other in state.held[target]
+                if len(state.holders[other]) > 1 and other not in dropped
+            ]
+            if not victims:
+                continue
+            victim = min(victims, key=state.tokens.__getitem__)
+            dropped.add(victim)
+            drops.append((target, victim))
+        adds.append((target, expert))
+        if len(adds) > 1:
+            yield tuple(adds), tuple(drops)
+        if len(adds) == _REPLICAS_AT_ONCE:
+            return
 
 
 def _changes_to(state: _Layer, hot: int, expert: int, target: int) -> Iterator[_Change]:
--- a/src/mustardfront/state/_experts.py
+++ b/src/mustardfront/state/_experts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any, TypeAlias
@@ -35,7 +36,7 @@
         return Err(Code.MAP_INVALID, text)
     bounds = [rank * experts // ranks for rank in range(ranks + 1)]
     layer = tuple(
-        tuple(range(low, high)) for low, high in zip(bounds, bounds[1:], strict=False)
+        tuple(range(low, high)) for low, high in itertools.pairwise(bounds)
     )
     return Ok(ExpertMap(0, (layer,) * layers))
 
