Limit moves by a budget and take the best steps of all layers first

A token bucket of moves, whose rate follows the root of the weights' ratio, bounds the bytes, and segments of falling value decide what the budget goes to.

--- a/src/mustardfront/coordination/balancing/_default.py
+++ b/src/mustardfront/coordination/balancing/_default.py
@@ -2,18 +2,23 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Final
 
-from mustardfront.coordination.balancing._policies import BalanceSettings, Policy
+from mustardfront.coordination.balancing._policies import (
+    BalanceSettings,
+    Policy,
+    add_loads,
+)
 from mustardfront.coordination.balancing._refine import (
     RefineStep,
     apply_steps,
     refine,
 )
-from mustardfront.state import ExpertMap, LayerMap, Loads
+from mustardfront.state import ExpertMap, LayerMap, Loads, rank_loads
 
 # Tokens are summed over buckets; the median of the last ones forgets any flash that is
 # shorter than half of the window, and a lasting shift shows after half of it.
@@ -30,13 +35,22 @@
 # Hysteresis: a smaller skew is left alone, and a smaller saving is not worth a switch.
 SKEW_TRIGGER: Final = 0.06
 SAVING_MIN: Final = 0.03
-# Work bound of a plan, and how soon a layer is planned again.
-STEPS_MAX: Final = 48
+# Work bound of a plan, and how soon the layers are planned again.
+STEPS_MAX: Final = 64
 REPLAN_S: Final = 12.0
 # A map is in force only when all its moves are done, so a plan stays small.
 BATCH_MAX_S: Final = 10.0
-# Seconds of lost time that a switch costs a group, whatever it moves.
-SWITCH_COST_S: Final = 0.01
+# Seconds of one skew unit that a switch costs, whatever it moves, and that loading every
+# slot of a layer once costs beside the time of the transfer.
+SWITCH_COST_S: Final = 0.5
+FULL_PLAN_COST_S: Final = 120.0
+# Moves are limited to a share of one full plan for each interval. The share follows the
+# root of the weights' ratio, which keeps it within a factor of 3 for ratios up to 10.
+BUDGET_INTERVAL_S: Final = 60.0
+BUDGET_SHARE: Final = 0.034
+BUDGET_SHARE_MIN: Final = 0.008
+BUDGET_SHARE_MAX: Final = 0.065
+BUDGET_BURST_S: Final = 240.0
 
 
 class _LoadForecast:
@@ -78,12 +92,33 @@
         self._earlier, self.changed_at = self.shares, now
 
 
+class _MoveBudget:
+    """A token bucket of moves for all layers; the weights set its rate."""
+
+    def __init__(self, settings: BalanceSettings, layers: int) -> None:
+        ratio = settings.skew_weight / max(settings.cost_weight, 1e-9)
+        share = BUDGET_SHARE * math.sqrt(ratio)
+        share = min(BUDGET_SHARE_MAX, max(BUDGET_SHARE_MIN, share))
+        slots = layers * settings.ranks * settings.slots
+        self._rate = share * slots / BUDGET_INTERVAL_S
+        self._most = self._rate * BUDGET_BURST_S
+        self._filled_at: float | None = None
+        self.left = self._most
+
+    def refill(self, now: float) -> None:
+        """Add the moves allowed since the last call."""
+        if self._filled_at is not None:
+            added = (now - self._filled_at) * self._rate
+            self.left = min(self._most, self.left + added)
+        self._filled_at = now
+
+
 @dataclass(frozen=True, slots=True)
-class _LayerPlan:
-    """The steps chosen for a layer, and their value for each second of transfer."""
+class _Segment:
+    """Steps of a layer up to ``count`` that are worth taking together."""
 
     index: int
-    steps: list[RefineStep]
+    count: int
     moves: int
     value: float
 
@@ -92,97 +127,99 @@
     """Return the project's policy with its own state."""
     sums: list[list[float]] = []
     forecasts: list[_LoadForecast] = []
-    bucket_at: float | None = None
-    planned_at = 0.0
+    budget: _MoveBudget | None = None
+    bucket_at = planned_at = 0.0
 
     def plan(
         now: float, loads: Loads, current: ExpertMap, busy: bool
     ) -> ExpertMap | None:
-        nonlocal sums, bucket_at, planned_at
-        if bucket_at is None:
+        nonlocal sums, bucket_at, planned_at, budget
+        if budget is None:
             bucket_at = planned_at = now
+            budget = _MoveBudget(settings, len(loads))
             forecasts.extend(_LoadForecast() for _ in loads)
         if now - bucket_at >= BUCKET_S and sums:
             bucket_at = now
             for forecast, tokens in zip(forecasts, sums, strict=True):
                 forecast.add(now, tokens)
             sums = []
-        sums = _added(sums, loads)
+        sums = add_loads(sums, loads)
         if busy or now - planned_at < REPLAN_S or not forecasts[0].shares:
             return None
         planned_at = now
-        return _plan_layers(current, forecasts, settings)
+        budget.refill(now)
+        return _plan_layers(current, forecasts, settings, budget)
 
     return plan
 
 
-def _added(sums: list[list[float]], loads: Loads) -> list[list[float]]:
-    if not sums:
-        return [list(tokens) for tokens in loads]
-    return [
-        [total + count for total, count in zip(row, tokens, strict=True)]
-        for row, tokens in zip(sums, loads, strict=True)
-    ]
-
-
 def _plan_layers(
-    current: ExpertMap, forecasts: Sequence[_LoadForecast], settings: BalanceSettings
+    current: ExpertMap,
+    forecasts: Sequence[_LoadForecast],
+    settings: BalanceSettings,
+    budget: _MoveBudget,
 ) -> ExpertMap | None:
-    plans = []
-    for index, (layer, forecast) in enumerate(
-        zip(current.layers, forecasts, strict=True)
-    ):
-        plan = _plan_layer(index, layer, forecast, settings, len(forecasts))
-        if plan is not None:
-            plans.append(plan)
-    layers = list(current.layers)
-    left_s = BATCH_MAX_S
-    for plan in sorted(plans, key=lambda plan: -plan.value):
-        transfer_s = plan.moves * settings.move_s
-        if transfer_s > left_s and left_s < BATCH_MAX_S:
+    steps: dict[int, list[RefineStep]] = {}
+    segments: list[_Segment] = []
+    for index, layer in enumerate(current.layers):
+        shares = forecasts[index].shares
+        skew = skew_of(layer, shares) if shares else 1.0
+        if skew < 1 + SKEW_TRIGGER:
             continue
-        left_s -= transfer_s
-        layers[plan.index] = apply_steps(layers[plan.index], plan.steps)
-    if not plans:
+        steps[index] = refine(layer, shares, settings.slots, STEPS_MAX)
+        lasts_s = forecasts[index].lasts_s
+        segments += _segments(index, skew, steps[index], lasts_s, settings)
+    chosen: dict[int, int] = {}
+    moves_max = min(budget.left, BATCH_MAX_S / settings.move_s)
+    # A layer's segments have falling values, so they are taken in their order.
+    for segment in sorted(segments, key=lambda segment: -segment.value):
+        if segment.moves > moves_max:
+            break
+        moves_max -= segment.moves
+        budget.left -= segment.moves
+        chosen[segment.index] = segment.count
+    if not chosen:
         return None
+    layers = list(current.layers)
+    for index, count in chosen.items():
+        layers[index] = apply_steps(layers[index], steps[index][:count])
     return ExpertMap(current.version + 1, tuple(layers))
 
 
-def _plan_layer(
+def _segments(
     index: int,
-    layer: LayerMap,
-    forecast: _LoadForecast,
+    skew: float,
+    steps: Sequence[RefineStep],
+    lasts_s: float,
     settings: BalanceSettings,
-    layers: int,
-) -> _LayerPlan | None:
-    """Return the steps with the best value, or None when none is worth its cost."""
-    if not forecast.shares:
-        return None
-    skew = _skew(layer, forecast.shares)
-    if skew < 1 + SKEW_TRIGGER:
-        return None
-    steps = refine(layer, forecast.shares, settings.slots, STEPS_MAX)
-    best = 0.0
-    chosen = moves = chosen_moves = 0
-    for count, step in enumerate(steps, 1):
-        moves += step.moves
-        saved = skew - step.skew
-        if saved < SAVING_MIN:
-            continue
-        transfer_s = moves * settings.move_s
-        gain_s = saved * max(0.0, forecast.lasts_s - transfer_s) / layers
-        cost_s = transfer_s + SWITCH_COST_S / layers
-        value = settings.skew_weight * gain_s - settings.cost_weight * cost_s
-        if value > best:
-            best, chosen, chosen_moves = value, count, moves
-    if not chosen:
-        return None
-    per_second = best / max(chosen_moves * settings.move_s, 1e-9)
-    return _LayerPlan(index, steps[:chosen], chosen_moves, per_second)
-
-
-def _skew(layer: LayerMap, shares: Sequence[float]) -> float:
-    from mustardfront.state import rank_loads
-
+) -> list[_Segment]:
+    """Return the worthwhile steps as segments of falling value for each move."""
+    move_cost_s = settings.move_s + FULL_PLAN_COST_S / settings.ranks / settings.slots
+    price = settings.cost_weight * move_cost_s
+    found: list[_Segment] = []
+    count = 0
+    fixed = settings.cost_weight * SWITCH_COST_S
+    while count < len(steps):
+        best, best_count, best_moves = 0.0, 0, 0
+        moves = 0
+        for end in range(count, len(steps)):
+            moves += steps[end].moves
+            saved = skew - steps[end].skew
+            if not found and saved < SAVING_MIN:
+                continue
+            net = settings.skew_weight * saved * lasts_s - fixed - price * moves
+            value = net / max(moves, 0.25)
+            if value > best:
+                best, best_count, best_moves = value, end + 1, moves
+        if not best_count:
+            break
+        found.append(_Segment(index, best_count, best_moves, best))
+        skew, count, fixed = steps[best_count - 1].skew, best_count, 0.0
+    return found
+
+
+def skew_of(layer: LayerMap, shares: Sequence[float]) -> float:
+    """Return the slowest rank over the mean rank of a layer; 1 without tokens."""
     by_rank = rank_loads(layer, shares)
-    return max(by_rank) * len(by_rank) / (sum(by_rank) or 1.0)
+    total = sum(by_rank)
+    return max(by_rank) * len(by_rank) / total if total else 1.0
--- a/src/mustardfront/coordination/balancing/_policies.py
+++ b/src/mustardfront/coordination/balancing/_policies.py
@@ -62,7 +62,7 @@
         now: float, loads: Loads, current: ExpertMap, busy: bool
     ) -> ExpertMap | None:
         nonlocal sums, planned_at
-        sums = _added(sums, loads)
+        sums = add_loads(sums, loads)
         if planned_at is None:
             planned_at = now
         if busy or now - planned_at < PERIODIC_INTERVAL_S:
@@ -75,7 +75,8 @@
     return plan
 
 
-def _added(sums: list[list[float]], loads: Loads) -> list[list[float]]:
+def add_loads(sums: list[list[float]], loads: Loads) -> list[list[float]]:
+    """Return the sums with the tokens added; empty sums become the tokens."""
     if not sums:
         return [list(tokens) for tokens in loads]
     return [
--- a/src/mustardfront/state/_experts.py
+++ b/src/mustardfront/state/_experts.py
@@ -35,9 +35,7 @@
         text = f"{ranks} ranks with {slots} slots cannot hold {experts} experts"
         return Err(Code.MAP_INVALID, text)
     bounds = [rank * experts // ranks for rank in range(ranks + 1)]
-    layer = tuple(
-        tuple(range(low, high)) for low, high in itertools.pairwise(bounds)
-    )
+    layer = tuple(tuple(range(low, high)) for low, high in itertools.pairwise(bounds))
     return Ok(ExpertMap(0, (layer,) * layers))
 
 
