--- a/src/mustardfront/coordination/config/__init__.py
+++ b/src/mustardfront/coordination/config/__init__.py
@@ -1,5 +1,31 @@
 """Configuration: tickets, the version in force and its spread between peers."""
 
+from mustardfront.coordination.config._kv import Kv
+from mustardfront.coordination.config._records import (
+    HEAD_KEY,
+    list_tickets,
+    read_head,
+    read_snapshot,
+    read_ticket,
+)
+from mustardfront.coordination.config._spread import ConfigSpread
 from mustardfront.coordination.config._store import ConfigStore
+from mustardfront.coordination.config._submit import (
+    Accepted,
+    check_ticket,
+    submit_ticket,
+)
 
-__all__ = ["ConfigStore"]
+__all__ = [
+    "HEAD_KEY",
+    "Accepted",
+    "ConfigSpread",
+    "ConfigStore",
+    "Kv",
+    "check_ticket",
+    "list_tickets",
+    "read_head",
+    "read_snapshot",
+    "read_ticket",
+    "submit_ticket",
+]
--- /dev/null
+++ b/src/mustardfront/coordination/peers/_heartbeat.py
@@ -0,0 +1,62 @@
+"""Pings on quiet peer connections; a silent peer's connection is closed."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+
+import trio
+
+from mustardfront import events
+from mustardfront.codes import Code
+from mustardfront.constants import PEER_SILENCE_S, PING_INTERVAL_S
+from mustardfront.coordination.peers._hub import PeerHub
+from mustardfront.protocol import Message, PeerConnection, Ping, Pong
+from mustardfront.results import Err
+
+
+class Heartbeat:
+    """Pings the peers of a hub and answers their pings.
+
+    Connections with other traffic get no pings: at the target an entry has 180
+    connections, whose pings alone would take more than its 6 KB/s of control traffic.
+    """
+
+    def __init__(
+        self,
+        hub: PeerHub,
+        version: Callable[[], int],
+        heard: Callable[[PeerConnection, int], None],
+    ) -> None:
+        self._hub = hub
+        self._version = version
+        self._heard = heard
+        self._nonces = itertools.count(1)
+        hub.add_handler(self._handle)
+
+    async def _handle(self, conn: PeerConnection, message: Message) -> bool:
+        if isinstance(message, Ping):
+            conn.send_nowait(Pong(message.nonce, self._version()))
+        elif not isinstance(message, Pong):
+            return False
+        self._heard(conn, message.config_version)
+        return True
+
+    async def run(self) -> None:
+        """Ping quiet peers and close silent ones, until cancelled."""
+        while True:
+            await trio.sleep(PING_INTERVAL_S)
+            now = trio.current_time()
+            for conn in self._hub.connections:
+                quiet_s = now - conn.last_received_s
+                if quiet_s >= PEER_SILENCE_S:
+                    events.log(
+                        events.Event.PEER_SILENT,
+                        peer=conn.remote.instance,
+                        host=conn.remote.host,
+                        silent_s=round(quiet_s, 1),
+                    )
+                    text = f"no message for {quiet_s:.1f} s"
+                    self._hub.close(conn, Err(Code.PEER_LOST, text))
+                elif quiet_s >= PING_INTERVAL_S:
+                    conn.send_nowait(Ping(next(self._nonces), self._version()))
--- a/src/mustardfront/coordination/peers/_hub.py
+++ b/src/mustardfront/coordination/peers/_hub.py
@@ -6,6 +6,8 @@
 from contextlib import contextmanager
 from typing import TypeAlias
 
+import trio
+
 from mustardfront.protocol import Message, PeerConnection
 from mustardfront.results import Err
 
@@ -19,7 +21,7 @@
     """Registry of live connections, with handlers for messages outside of calls."""
 
     def __init__(self) -> None:
-        self._conns: set[PeerConnection] = set()
+        self._conns: dict[PeerConnection, trio.CancelScope] = {}
         self._handlers: list[ControlHandler] = []
         self._greetings: list[Greeting] = []
 
@@ -38,12 +40,23 @@
 
     @contextmanager
     def attached(self, conn: PeerConnection) -> Iterator[None]:
-        """Keep ``conn`` in the registry while in the context."""
-        self._conns.add(conn)
-        try:
-            yield
-        finally:
-            self._conns.discard(conn)
+        """Keep ``conn`` in the registry while in the context.
+
+        ``close`` cancels what runs in the context.
+        """
+        with trio.CancelScope() as scope:
+            self._conns[conn] = scope
+            try:
+                yield
+            finally:
+                del self._conns[conn]
+
+    def close(self, conn: PeerConnection, err: Err) -> None:
+        """End a connection because of ``err``."""
+        scope = self._conns.get(conn)
+        if scope is not None:
+            conn.closed = conn.closed or err
+            scope.cancel()
 
     async def greet(self, conn: PeerConnection) -> None:
         """Run all greetings on a new connection."""
--- a/src/mustardfront/protocol/_peer.py
+++ b/src/mustardfront/protocol/_peer.py
@@ -53,6 +53,8 @@
         self._frames = frames
         self._queue = queue
         self.closed: Err | None = None
+        # Time of the last frame; traffic of any kind shows that the peer is alive.
+        self.last_received_s = trio.current_time()
 
     async def send(self, message: Message) -> Result[None]:
         """Queue a message; wait while the queue is full."""
@@ -82,6 +84,7 @@
         frame = await self._frames.receive()
         if isinstance(frame, Err):
             return self._fail(frame)
+        self.last_received_s = trio.current_time()
         message = decode(frame.value)
         if isinstance(message, Err):
             return self._fail(message)
