--- /dev/null
+++ b/src/mustardfront/coordination/routing/_knobs.py
@@ -0,0 +1,28 @@
+"""Settings of the routing policy; ``docs/tuning.md`` describes each one."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingKnobs:
+    """Defaults of the routing policy, with the unit in each name."""
+
+    # Sidecars report every 2 s at least, so two missed reports make one stale.
+    report_stale_s: float = 5.0
+    latency_half_life_s: float = 5.0
+    choices_count: int = 2
+    prefix_load_bound_ratio: float = 1.25
+    spill_load_ratio: float = 1.25
+    slow_start_s: float = 10.0
+    slow_start_weight_min: float = 0.1
+    eject_failures_count: int = 5
+    eject_window_s: float = 10.0
+    eject_failure_ratio: float = 0.5
+    eject_base_s: float = 5.0
+    eject_max_s: float = 60.0
+    eject_groups_max_ratio: float = 1 / 3
+    reconnect_base_s: float = 0.5
+    reconnect_max_s: float = 10.0
+    logged_candidates_max: int = 8
