--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,69 @@
+"""Run all measurements, or the named ones."""
+
+from __future__ import annotations
+
+import importlib
+import pkgutil
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+import click
+
+import bench
+from bench._plot import draw
+from bench._report import Report, to_markdown
+
+SEED = 1
+DOCS = Path(__file__).resolve().parent.parent / "docs"
+HEAD = """# Measurements
+
+Written by `make bench` from fixed seeds. Times on trio's mock clock are exact for a
+seed; processor times depend on the machine, so only ratios within a run count.
+"""
+
+
+def find() -> dict[str, Callable[[int], Report]]:
+    """Return the measurements by name."""
+    found: dict[str, Callable[[int], Report]] = {}
+    for info in pkgutil.iter_modules(bench.__path__):
+        if info.name.startswith("_"):
+            continue
+        module = importlib.import_module(f"bench.{info.name}")
+        if hasattr(module, "NAME"):
+            found[module.NAME] = module.run
+    return found
+
+
+def run_one(name: str, seed: int) -> Report:
+    """Run one measurement; also the entry point of a worker process."""
+    return find()[name](seed)
+
+
+@click.command()
+@click.argument("names", nargs=-1)
+@click.option("--seed", default=SEED, show_default=True, help="Seed of all runs.")
+def main(names: tuple[str, ...], seed: int) -> None:
+    """Run the measurements NAMES and print them; without NAMES, write the page."""
+    known = find()
+    unknown = [name for name in names if name not in known]
+    if unknown:
+        raise click.UsageError(f"no measurement {unknown[0]}; there are: {[*known]}")
+    sections: list[str] = []
+    # One process for each measurement keeps their memory figures apart.
+    for name in names or known:
+        with ProcessPoolExecutor(max_workers=1) as pool:
+            report = pool.submit(run_one, name, seed).result()
+        section = to_markdown(report, f"python -m bench {name} --seed {seed}")
+        click.echo(section)
+        sections.append(section)
+        if not names:
+            for plot in report.plots:
+                draw(plot, DOCS / "plots")
+    if not names:
+        page = "\n".join([HEAD, *sections]).rstrip() + "\n"
+        (DOCS / "measurements.md").write_text(page, encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
