--- a/src/mustardfront/constants.py
+++ b/src/mustardfront/constants.py
@@ -19,7 +19,13 @@
 # A peer that answers no ping for three intervals is treated as lost.
 PEER_SILENCE_S: Final = 6.0
 
+# An entry reconnects to a sidecar with growing, jittered pauses.
+LINK_RETRY_MIN_S: Final = 0.2
+LINK_RETRY_MAX_S: Final = 5.0
+LINK_IDLE_S: Final = 60.0
+
 BODY_MAX_BYTES: Final = 2 * 1024 * 1024
+REQUEST_ID_MAX_CHARS: Final = 128
 DEADLINE_DEFAULT_MS: Final = 30_000
 DEADLINE_MAX_MS: Final = 600_000
 PRIORITY_DEFAULT: Final = 1
@@ -27,3 +33,12 @@
 
 READINESS_GRACE_S: Final = 1.0
 DRAIN_TIMEOUT_S: Final = 600.0
+
+# First attempt included; the retry budget usually ends a request sooner.
+ATTEMPTS_MAX: Final = 4
+# Finished requests whose decisions an entry keeps for ``explain``.
+EXPLAIN_REQUESTS: Final = 2_000
+EXPLAIN_EVENTS_PER_REQUEST: Final = 16
+
+# More partitions spread better over owners; each costs its owner one lease.
+IDEMPOTENCY_PARTITIONS: Final = 16
