Encode names before hashing partitions

Cause: the hash library's type stub takes bytes only, so the strict type checker failed. Before: two errors. Conclusion: same values, as the library encodes text as UTF-8 itself.

--- a/src/mustardfront/coordination/idempotency/_partitions.py
+++ b/src/mustardfront/coordination/idempotency/_partitions.py
@@ -11,7 +11,9 @@
 
 def partition_of(service: str, key: str) -> int:
     """Return the partition of a key, from 0 to ``IDEMPOTENCY_PARTITIONS`` - 1."""
-    return xxhash.xxh3_64_intdigest(f"{service}\0{key}") % IDEMPOTENCY_PARTITIONS
+    return (
+        xxhash.xxh3_64_intdigest(f"{service}\0{key}".encode()) % IDEMPOTENCY_PARTITIONS
+    )
 
 
 def owner_order(service: str, partition: int, upstreams: Iterable[str]) -> list[str]:
@@ -22,6 +24,6 @@
     """
 
     def score(upstream: str) -> int:
-        return xxhash.xxh3_64_intdigest(f"{service}\0{partition}\0{upstream}")
+        return xxhash.xxh3_64_intdigest(f"{service}\0{partition}\0{upstream}".encode())
 
     return sorted(upstreams, key=lambda name: (-score(name), name))
