--- a/src/mustardfront/constants.py
+++ b/src/mustardfront/constants.py
@@ -27,3 +27,7 @@
 
 READINESS_GRACE_S: Final = 1.0
 DRAIN_TIMEOUT_S: Final = 600.0
+
+KV_CALL_TIMEOUT_S: Final = 2.0
+# Calls of one process that may be under way at the same time.
+KV_CONNECTIONS: Final = 8
--- /dev/null
+++ b/src/mustardfront/coordination/kv/_client.py
@@ -0,0 +1,306 @@
+"""Calls of the etcd v3 JSON gateway over HTTP, as outcomes."""
+
+from __future__ import annotations
+
+from base64 import b64decode, b64encode
+from collections import Counter
+from collections.abc import AsyncGenerator, AsyncIterator, Iterable, Mapping
+from contextlib import AsyncExitStack, aclosing, asynccontextmanager
+from dataclasses import dataclass
+from types import TracebackType
+from typing import Any, Final
+
+import httpcore
+import msgspec
+import trio
+
+from mustardfront.codes import Code
+from mustardfront.constants import (
+    CONNECT_TIMEOUT_S,
+    KV_CALL_TIMEOUT_S,
+    KV_CONNECTIONS,
+)
+from mustardfront.results import Err, Ok, Result
+
+_PATHS: Final = {
+    "range": "/v3/kv/range",
+    "txn": "/v3/kv/txn",
+    "lease_grant": "/v3/lease/grant",
+    "lease_keepalive": "/v3/lease/keepalive",
+    "lease_revoke": "/v3/lease/revoke",
+    "watch": "/v3/watch",
+}
+# A repeated or lost renewal does no harm, so it is not counted as a write here.
+_WRITES: Final = frozenset({"txn", "lease_grant", "lease_revoke"})
+_HEADERS: Final = [("Content-Type", "application/json")]
+# Nothing was sent yet when one of these is raised.
+_NOT_SENT: Final = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+    httpcore.UnsupportedProtocol,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class KvValue:
+    """A key's value, the revision of its last write, and its lease (0: none)."""
+
+    value: bytes
+    mod_revision: int
+    lease: int
+
+
+@dataclass(frozen=True, slots=True)
+class TxnResult:
+    """Whether the comparisons held, and the service's revision afterwards."""
+
+    succeeded: bool
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class KvEvent:
+    """A change of a key; ``value`` is None when it was deleted."""
+
+    key: str
+    value: bytes | None
+    mod_revision: int
+
+
+class KvClient:
+    """The calls that the project uses; ``calls`` counts them by kind.
+
+    Every method returns ``Err(STORE_UNAVAILABLE)`` when the call surely had no effect
+    and ``Err(WRITE_UNKNOWN)`` when a write may have taken effect.
+    """
+
+    def __init__(self, url: str) -> None:
+        self._url = url.rstrip("/")
+        self.calls: Counter[str] = Counter()
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=KV_CONNECTIONS, max_keepalive_connections=KV_CONNECTIONS
+        )
+        # A watch holds its connection, so it has a pool of its own without a limit.
+        self._watch_pool = httpcore.AsyncConnectionPool(max_keepalive_connections=0)
+
+    async def __aenter__(self) -> KvClient:
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        with trio.CancelScope(shield=True, deadline=trio.current_time() + 1.0):
+            await self._pool.aclose()
+            await self._watch_pool.aclose()
+
+    async def get(self, key: str) -> Result[KvValue | None]:
+        """Return the value of a key, or None when it is absent."""
+        answer = await self._call("range", {"key": _encode(key)})
+        if isinstance(answer, Err):
+            return answer
+        found = answer.value.get("kvs", [])
+        return Ok(_value(found[0]) if found else None)
+
+    async def get_prefix(self, prefix: str) -> Result[dict[str, KvValue]]:
+        """Return the values of all keys that begin with ``prefix``."""
+        end = b64encode(_prefix_end(prefix.encode())).decode()
+        answer = await self._call("range", {"key": _encode(prefix), "range_end": end})
+        if isinstance(answer, Err):
+            return answer
+        found = answer.value.get("kvs", [])
+        return Ok({b64decode(kv["key"]).decode(): _value(kv) for kv in found})
+
+    async def txn(
+        self,
+        compare: Mapping[str, int],
+        puts: Mapping[str, bytes],
+        deletes: Iterable[str] = (),
+        lease: int = 0,
+    ) -> Result[TxnResult]:
+        """Write all of ``puts`` and ``deletes`` if each key has its mod revision.
+
+        Revision 0 means that the key must be absent. ``Err(LEASE_LOST)`` when the
+        lease is gone; nothing is written then.
+        """
+        attach = {"lease": str(lease)} if lease else {}
+        operations: list[dict[str, Any]] = [
+            {
+                "request_put": {
+                    "key": _encode(key),
+                    "value": b64encode(value).decode(),
+                }
+                | attach
+            }
+            for key, value in puts.items()
+        ]
+        operations += [
+            {"request_delete_range": {"key": _encode(key)}} for key in deletes
+        ]
+        comparisons = [
+            {
+                "key": _encode(key),
+                "target": "MOD",
+                "result": "EQUAL",
+                "mod_revision": str(revision),
+            }
+            for key, revision in compare.items()
+        ]
+        body = {"compare": comparisons, "success": operations}
+        answer = await self._call("txn", body)
+        if isinstance(answer, Err):
+            return answer
+        succeeded = bool(answer.value.get("succeeded", False))
+        return Ok(TxnResult(succeeded, int(answer.value["header"]["revision"])))
+
+    async def lease_grant(self, ttl_s: int) -> Result[int]:
+        """Return a new lease that ends ``ttl_s`` after its last renewal."""
+        answer = await self._call("lease_grant", {"TTL": str(ttl_s), "ID": "0"})
+        return answer if isinstance(answer, Err) else Ok(int(answer.value["ID"]))
+
+    async def lease_keepalive(self, lease: int) -> Result[int]:
+        """Renew a lease and return its lifetime in seconds; Err(LEASE_LOST) if gone."""
+        answer = await self._call("lease_keepalive", {"ID": str(lease)})
+        if isinstance(answer, Err):
+            return answer
+        ttl_s = int(answer.value.get("result", {}).get("TTL", 0))
+        if ttl_s <= 0:
+            return Err(Code.LEASE_LOST, f"lease {lease} is gone")
+        return Ok(ttl_s)
+
+    async def lease_revoke(self, lease: int) -> Result[None]:
+        """End a lease and delete its keys; Err(LEASE_LOST) if it was gone."""
+        answer = await self._call("lease_revoke", {"ID": str(lease)})
+        return answer if isinstance(answer, Err) else Ok(None)
+
+    @asynccontextmanager
+    async def watch(
+        self, key: str, from_revision: int
+    ) -> AsyncIterator[AsyncIterator[KvEvent]]:
+        """Yield the changes of a key from a revision on.
+
+        The iterator ends when the service or the connection does, or when the revision
+        is too old; the caller then reads the key again before the next watch.
+        """
+        self.calls["watch"] += 1
+        request = {"key": _encode(key), "start_revision": str(from_revision)}
+        body = msgspec.json.encode({"create_request": request})
+        timeout = {
+            "connect": CONNECT_TIMEOUT_S,
+            "write": KV_CALL_TIMEOUT_S,
+            "pool": KV_CALL_TIMEOUT_S,
+        }
+        stream = self._watch_pool.stream(
+            "POST",
+            self._url + _PATHS["watch"],
+            headers=_HEADERS,
+            content=body,
+            extensions={"timeout": timeout},
+        )
+        async with AsyncExitStack() as stack:
+            try:
+                response = await stack.enter_async_context(stream)
+            except (
+                httpcore.NetworkError,
+                httpcore.TimeoutException,
+                httpcore.ProtocolError,
+            ):
+                yield _no_events()
+                return
+            if response.status != 200:
+                yield _no_events()
+                return
+            async with aclosing(_read_events(response)) as events:
+                yield events
+
+    async def _call(self, kind: str, body: dict[str, Any]) -> Result[dict[str, Any]]:
+        self.calls[kind] += 1
+        maybe = Code.WRITE_UNKNOWN if kind in _WRITES else Code.STORE_UNAVAILABLE
+        timeout = dict.fromkeys(("read", "write", "pool"), KV_CALL_TIMEOUT_S)
+        timeout["connect"] = CONNECT_TIMEOUT_S
+        try:
+            response = await self._pool.request(
+                "POST",
+                self._url + _PATHS[kind],
+                headers=_HEADERS,
+                content=msgspec.json.encode(body),
+                extensions={"timeout": timeout},
+            )
+        except _NOT_SENT as exc:
+            return Err(Code.STORE_UNAVAILABLE, f"{kind}: {_describe(exc)}")
+        except (
+            httpcore.NetworkError,
+            httpcore.TimeoutException,
+            httpcore.ProtocolError,
+        ) as exc:
+            return Err(maybe, f"{kind}: {_describe(exc)}")
+        if response.status >= 400:
+            return _refusal(kind, response, maybe)
+        try:
+            return Ok(msgspec.json.decode(response.content, type=dict[str, Any]))
+        except msgspec.DecodeError as exc:
+            return Err(maybe, f"{kind}: bad answer: {exc}")
+
+
+def _refusal(kind: str, response: httpcore.Response, maybe: Code) -> Err:
+    text = (
+        f"{kind}: {response.status} {response.content[:200].decode(errors='replace')}"
+    )
+    if kind != "range" and response.status == 404:
+        return Err(Code.LEASE_LOST, text)
+    # A call with a client error was refused before it could take effect. A server error
+    # may come from a member that had already passed the write on.
+    return Err(Code.STORE_UNAVAILABLE if response.status < 500 else maybe, text)
+
+
+async def _read_events(response: httpcore.Response) -> AsyncGenerator[KvEvent, None]:
+    buffer = b""
+    try:
+        async for part in response.aiter_stream():
+            *lines, buffer = (buffer + part).split(b"\n")
+            for line in filter(None, lines):
+                message = msgspec.json.decode(line, type=dict[str, Any])
+                result = message.get("result", {})
+                if result.get("canceled"):
+                    return
+                for event in result.get("events", []):
+                    yield _event(event)
+    except (httpcore.NetworkError, httpcore.ProtocolError, msgspec.DecodeError):
+        return
+
+
+async def _no_events() -> AsyncIterator[KvEvent]:
+    return
+    yield
+
+
+def _event(event: dict[str, Any]) -> KvEvent:
+    kv = event["kv"]
+    deleted = event.get("type") == "DELETE"
+    value = None if deleted else b64decode(kv.get("value", ""))
+    return KvEvent(b64decode(kv["key"]).decode(), value, int(kv["mod_revision"]))
+
+
+def _value(kv: dict[str, Any]) -> KvValue:
+    return KvValue(
+        b64decode(kv.get("value", "")), int(kv["mod_revision"]), int(kv.get("lease", 0))
+    )
+
+
+def _encode(key: str) -> str:
+    return b64encode(key.encode()).decode()
+
+
+def _prefix_end(prefix: bytes) -> bytes:
+    """Return the first key after all that begin with ``prefix``."""
+    stripped = prefix.rstrip(b"\xff")
+    if not stripped:
+        return b"\0"
+    return stripped[:-1] + bytes([stripped[-1] + 1])
+
+
+def _describe(exc: Exception) -> str:
+    return f"{type(exc).__name__} {exc}".strip()
