--- a/src/mustardfront/constants.py
+++ b/src/mustardfront/constants.py
@@ -42,3 +42,7 @@
 
 # More partitions spread better over owners; each costs its owner one lease.
 IDEMPOTENCY_PARTITIONS: Final = 16
+
+KV_CALL_TIMEOUT_S: Final = 2.0
+# Calls of one process that may be under way at the same time.
+KV_CONNECTIONS: Final = 8
