Add the shared program runtime, the admin API and the config spread

Cause: entry, sidecar and admin need the same start, readiness, signals and draining, and a configuration that reaches each process without one watch each.

--- a/src/mustardfront/coordination/config/__init__.py
+++ b/src/mustardfront/coordination/config/__init__.py
@@ -1,5 +1,11 @@
 """Configuration: tickets, the version in force and its spread between peers."""
 
+from mustardfront.coordination.config._files import (
+    SCHEMA_PATH,
+    check_ticket_data,
+    parse_ticket_json,
+    read_ticket_file,
+)
 from mustardfront.coordination.config._kv import Kv
 from mustardfront.coordination.config._records import (
     HEAD_KEY,
@@ -18,14 +24,18 @@
 
 __all__ = [
     "HEAD_KEY",
+    "SCHEMA_PATH",
     "Accepted",
     "ConfigSpread",
     "ConfigStore",
     "Kv",
     "check_ticket",
+    "check_ticket_data",
     "list_tickets",
+    "parse_ticket_json",
     "read_head",
     "read_snapshot",
     "read_ticket",
+    "read_ticket_file",
     "submit_ticket",
 ]
--- a/src/mustardfront/coordination/config/_kv.py
+++ b/src/mustardfront/coordination/config/_kv.py
@@ -2,67 +2,32 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Mapping, Sequence
+from collections.abc import AsyncIterator, Iterable, Mapping
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol
 
+from mustardfront.coordination.kv import KvEvent, KvValue, TxnResult
 from mustardfront.results import Result
 
 
-class StoredValue(Protocol):
-    """A value with the revision of its last change."""
-
-    @property
-    def value(self) -> bytes:
-        """Return the bytes."""
-
-    @property
-    def mod_revision(self) -> int:
-        """Return the revision of the last change."""
-
-
-class TxnAnswer(Protocol):
-    """What came of a transaction."""
-
-    @property
-    def succeeded(self) -> bool:
-        """Say whether all comparisons held and the writes took effect."""
-
-    @property
-    def revision(self) -> int:
-        """Return the service's revision after the transaction."""
-
-
-class ChangeEvent(Protocol):
-    """A change of a watched key; ``value`` is None when it was deleted."""
-
-    @property
-    def value(self) -> bytes | None:
-        """Return the new bytes."""
-
-    @property
-    def mod_revision(self) -> int:
-        """Return the revision of the change."""
-
-
 class Kv(Protocol):
-    """The calls on the key-value service that the configuration uses."""
+    """The calls of ``KvClient`` that are used, so that tests need no service."""
 
-    async def get(self, key: str) -> Result[StoredValue | None]:
+    async def get(self, key: str) -> Result[KvValue | None]:
         """Return the value of a key."""
 
-    async def get_prefix(self, prefix: str) -> Result[Mapping[str, StoredValue]]:
+    async def get_prefix(self, prefix: str) -> Result[dict[str, KvValue]]:
         """Return all keys under a prefix, as of one revision."""
 
     async def txn(
         self,
         compare: Mapping[str, int],
         puts: Mapping[str, bytes],
-        deletes: Sequence[str] = (),
-    ) -> Result[TxnAnswer]:
+        deletes: Iterable[str] = (),
+    ) -> Result[TxnResult]:
         """Write all or nothing, if each key has the given revision."""
 
     def watch(
         self, key: str, from_revision: int
-    ) -> AbstractAsyncContextManager[AsyncIterator[ChangeEvent]]:
+    ) -> AbstractAsyncContextManager[AsyncIterator[KvEvent]]:
         """Yield the changes of a key from a revision on."""
--- a/src/mustardfront/coordination/config/_records.py
+++ b/src/mustardfront/coordination/config/_records.py
@@ -10,7 +10,8 @@
 import msgspec
 
 from mustardfront.codes import Code
-from mustardfront.coordination.config._kv import Kv, StoredValue
+from mustardfront.coordination.config._kv import Kv
+from mustardfront.coordination.kv import KvValue
 from mustardfront.results import Err, Ok, Result
 from mustardfront.state import (
     Config,
@@ -75,7 +76,7 @@
     return msgspec.json.encode(head)
 
 
-def decode_head(value: StoredValue | None) -> Result[Head]:
+def decode_head(value: KvValue | None) -> Result[Head]:
     """Return the head; version 0 when there is none yet."""
     if value is None:
         return Ok(Head())
@@ -105,7 +106,7 @@
     )
 
 
-def join_snapshot(chunks: Mapping[str, StoredValue]) -> Result[Config]:
+def join_snapshot(chunks: Mapping[str, KvValue]) -> Result[Config]:
     """Return the configuration in a snapshot's chunks; version 0 when there are none.
 
     All chunks come from one read, so they belong to one version.
--- a/src/mustardfront/coordination/config/_spread.py
+++ b/src/mustardfront/coordination/config/_spread.py
@@ -72,6 +72,7 @@
         self._heard: dict[PeerConnection, int] = {}
         self._told: dict[PeerConnection, int] = {}
         self._wake = trio.Event()
+        self._heard_more = trio.Event()
         self._heartbeat = Heartbeat(
             hub, lambda: store.current.version, self._note_version
         )
@@ -131,7 +132,8 @@
 
     async def _sync_from_peers(self, start: trio.CancelScope) -> None:
         while not self._has_peers_version():
-            await trio.sleep(0.1)
+            await self._heard_more.wait()
+            self._heard_more = trio.Event()
         start.cancel()
 
     def _has_peers_version(self) -> bool:
@@ -165,6 +167,7 @@
         while True:
             version = self._store.current.version
             self._wake.set()
+            self._heard_more.set()
             live = self._hub.connections
             for known in (self._heard, self._told):
                 for conn in known.keys() - set(live):
@@ -179,6 +182,7 @@
 
     def _note_version(self, conn: PeerConnection, version: int) -> None:
         self._heard[conn] = version
+        self._heard_more.set()
         if version > self._store.current.version:
             self._wake.set()
 
--- a/src/mustardfront/coordination/config/_watch.py
+++ b/src/mustardfront/coordination/config/_watch.py
@@ -109,7 +109,7 @@
         return taken if isinstance(taken, Err) else Ok(head.value[1])
 
     async def _take(self, version: int) -> Result[None]:
-        """Put ``version`` in force: by its ticket, or the snapshot if further behind."""
+        """Put ``version`` in force, by its ticket or else by the snapshot."""
         cfg = self._store.current
         if version <= cfg.version:
             return Ok(None)
@@ -159,5 +159,8 @@
         while True:
             await trio.sleep(REREAD_S * self._rng.uniform(0.8, 1.0))
             version = self._store.current.version
-            if isinstance(await self.read(), Err) or self._store.current.version > version:
+            if (
+                isinstance(await self.read(), Err)
+                or self._store.current.version > version
+            ):
                 watch.cancel()
--- a/src/mustardfront/coordination/peers/_dial.py
+++ b/src/mustardfront/coordination/peers/_dial.py
@@ -29,7 +29,7 @@
 
 def backoff_s(failures: int, rng: random.Random) -> float:
     """Return the wait after a number of failures in a row, with jitter."""
-    longest = min(BACKOFF_FIRST_S * 2 ** min(failures - 1, 8), BACKOFF_MAX_S)
+    longest = min(BACKOFF_FIRST_S * 2.0 ** min(failures - 1, 8), BACKOFF_MAX_S)
     return longest * rng.uniform(0.5, 1.0)
 
 
--- /dev/null
+++ b/src/mustardfront/programs/_runtime.py
@@ -0,0 +1,296 @@
+"""What entry, sidecar and admin share: start, readiness, signals and draining."""
+
+from __future__ import annotations
+
+import secrets
+import signal
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+from typing import Any, Final, TypeAlias
+
+import trio
+
+from mustardfront import events
+from mustardfront.codes import Code
+from mustardfront.constants import DRAIN_TIMEOUT_S, READINESS_GRACE_S
+from mustardfront.coordination.config import ConfigSpread, ConfigStore
+from mustardfront.coordination.hosts import HostList
+from mustardfront.coordination.kv import KvClient
+from mustardfront.coordination.peers import PeerHub
+from mustardfront.metrics import Metrics
+from mustardfront.protocol import Handler, Identity, Leaving, serve_peers
+from mustardfront.results import Err, Ok, Result
+
+# ``process-ready`` is logged after this time even without a configuration, so that
+# the addresses of a process that starts during an outage are known.
+SYNC_WAIT_S: Final = 3.0
+SIGINT_EXIT_CODE: Final = 130
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """The settings that ``settings.common_settings`` adds to a program."""
+
+    peer_listen: tuple[str, int]
+    host: str
+    place: str
+    kv: str
+    host_list: str
+    key_file: bytes
+
+
+@dataclass(slots=True)
+class Process:
+    """The running process; a program's ``serve`` gets it.
+
+    ``draining`` is set first, on SIGTERM: readiness fails and new work is refused or
+    sent elsewhere. ``stopping`` is set ``READINESS_GRACE_S`` later: no new connections
+    are taken, and ``serve`` returns once its requests in flight are done.
+    """
+
+    identity: Identity
+    key: bytes
+    kv: KvClient
+    hosts: HostList
+    hub: PeerHub
+    store: ConfigStore
+    spread: ConfigSpread
+    metrics: Metrics
+    draining: trio.Event
+    stopping: trio.Event
+
+    @property
+    def is_ready(self) -> bool:
+        """Say whether the process takes new work."""
+        return self.spread.synced.is_set() and not self.draining.is_set()
+
+    def not_ready_reason(self) -> str:
+        """Return why the process is not ready, or ``""``."""
+        if self.draining.is_set():
+            return "draining"
+        return "" if self.is_ready else "no configuration yet"
+
+
+# Runs a program's own part until its work is done after ``stopping``. It reports its
+# listening addresses by name, for instance {"listen": "127.0.0.1:4711"}.
+Serve: TypeAlias = Callable[..., Awaitable[None]]
+MakePeerHandler: TypeAlias = Callable[[Process], Handler]
+
+
+def run_process(
+    role: str,
+    settings: Settings,
+    serve: Serve,
+    *,
+    upstream: str = "",
+    peer_handler: MakePeerHandler | None = None,
+    instance: str = "",
+) -> int:
+    """Run a program until it is told to stop, and return its exit code.
+
+    ``serve(process, task_status=...)`` is the program's own part. ``peer_handler``
+    makes the handler of accepted peer connections; by default they carry control
+    messages only. ``instance`` differs at each start and is made up when empty.
+    """
+    identity = Identity(
+        role,
+        settings.host,
+        settings.place,
+        instance or secrets.token_hex(8),
+        upstream,
+    )
+    events.start_logging(
+        f"mustardfront-{role}",
+        host=identity.host,
+        place=identity.place,
+        instance=identity.instance,
+    )
+    events.log(
+        events.Event.PROCESS_STARTED,
+        kv=settings.kv,
+        host_list=settings.host_list,
+        upstream=upstream,
+    )
+    return trio.run(_run, identity, settings, serve, peer_handler)
+
+
+async def _run(
+    identity: Identity,
+    settings: Settings,
+    serve: Serve,
+    peer_handler: MakePeerHandler | None,
+) -> int:
+    async with KvClient(settings.kv) as kv:
+        hosts, hub, store = HostList(settings.host_list), PeerHub(), ConfigStore()
+        process = Process(
+            identity=identity,
+            key=settings.key_file,
+            kv=kv,
+            hosts=hosts,
+            hub=hub,
+            store=store,
+            spread=ConfigSpread(store, hub, kv, identity, hosts, settings.key_file),
+            metrics=Metrics(),
+            draining=trio.Event(),
+            stopping=trio.Event(),
+        )
+        _add_gauges(process)
+        handler = peer_handler(process) if peer_handler else hub.serve
+        code = await _run_tasks(process, settings.peer_listen, serve, handler)
+    events.log(events.Event.PROCESS_STOPPED, exit_code=code)
+    return code
+
+
+async def _run_tasks(
+    process: Process, peer_listen: tuple[str, int], serve: Serve, handler: Handler
+) -> int:
+    exit_code = 0
+    async with trio.open_nursery() as nursery:
+
+        def end_at_once() -> None:
+            nonlocal exit_code
+            exit_code = SIGINT_EXIT_CODE
+            nursery.cancel_scope.cancel()
+
+        await nursery.start(_signals, process, end_at_once)
+        nursery.start_soon(_shut_down, process, nursery.cancel_scope)
+        bound = await _listen(nursery, process, peer_listen, handler)
+        if isinstance(bound, Err):
+            events.log(
+                events.Event.SETTING_REFUSED, code=int(bound.code), text=bound.text
+            )
+            nursery.cancel_scope.cancel()
+            return 2
+        addresses = {"peer": f"{bound.value[0]}:{bound.value[1]}"}
+        await nursery.start(process.hosts.run)
+        await nursery.start(process.spread.run)
+
+        async def serve_to_end(
+            *,
+            task_status: trio.TaskStatus[Mapping[str, str]] = trio.TASK_STATUS_IGNORED,
+        ) -> None:
+            await serve(process, task_status=task_status)
+            nursery.cancel_scope.cancel()
+
+        addresses |= await nursery.start(serve_to_end)
+        with trio.move_on_after(SYNC_WAIT_S):
+            await process.spread.synced.wait()
+        events.log(
+            events.Event.PROCESS_READY,
+            addresses=addresses,
+            synced=process.spread.synced.is_set(),
+            config_version=process.store.current.version,
+        )
+    return exit_code
+
+
+async def _listen(
+    nursery: trio.Nursery,
+    process: Process,
+    address: tuple[str, int],
+    handler: Handler,
+) -> Result[tuple[str, int]]:
+    """Start the peer listener; Err(ADDRESS_IN_USE) when its port cannot be bound."""
+    try:
+        bound: tuple[str, int] = await nursery.start(
+            serve_peers, address, process.identity, process.key, handler
+        )
+    except OSError as exc:
+        text = f"--peer-listen {address[0]}:{address[1]}: {exc}"
+        return Err(Code.ADDRESS_IN_USE, text)
+    return Ok(bound)
+
+
+async def _signals(
+    process: Process,
+    end_at_once: Callable[[], None],
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Drain on SIGTERM or SIGINT; a second SIGINT ends the process at once."""
+    interrupts = 0
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        task_status.started()
+        async for number in received:
+            if number == signal.SIGINT:
+                interrupts += 1
+                if interrupts == 2:
+                    end_at_once()
+                    return
+            if not process.draining.is_set():
+                events.log(
+                    events.Event.PROCESS_DRAINING, cause=signal.Signals(number).name
+                )
+                process.draining.set()
+
+
+async def _shut_down(process: Process, everything: trio.CancelScope) -> None:
+    """Lead from draining to stopping, and limit how long that may take."""
+    await process.draining.wait()
+    if process.identity.upstream:
+        process.hub.broadcast(Leaving(process.identity.upstream))
+    await trio.sleep(READINESS_GRACE_S)
+    process.stopping.set()
+    await trio.sleep(DRAIN_TIMEOUT_S)
+    events.log(
+        events.Event.TASK_FAILED, text=f"not drained after {DRAIN_TIMEOUT_S:.0f} s"
+    )
+    everything.cancel()
+
+
+def _add_gauges(process: Process) -> None:
+    metrics = process.metrics
+    metrics.gauge(
+        "mustardfront_config_version", lambda: float(process.store.current.version)
+    )
+    metrics.gauge("mustardfront_ready", lambda: float(process.is_ready))
+    metrics.gauge(
+        "mustardfront_peer_connections", lambda: float(len(process.hub.connections))
+    )
+    metrics.gauge("mustardfront_watching", lambda: float(process.spread.is_watching))
+    metrics.gauge("mustardfront_hosts", lambda: float(len(process.hosts.current)))
+    metrics.gauge(
+        "mustardfront_kv_calls", lambda: float(sum(process.kv.calls.values()))
+    )
+
+
+async def serve_http(
+    app: Any,
+    listen: tuple[str, int],
+    process: Process,
+    *,
+    task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve an ASGI application until ``stopping``, then finish what is in flight.
+
+    ``app`` gets ``http`` scopes only. Reports the real address ``"IP:PORT"``.
+    """
+    import hypercorn.trio
+    from hypercorn.config import Config
+
+    config = Config()
+    config.bind = [f"{listen[0]}:{listen[1]}"]
+    config.errorlog = None
+    config.graceful_timeout = DRAIN_TIMEOUT_S
+
+    async def answer(scope: Any, receive: Any, send: Any) -> None:
+        if scope["type"] == "http":
+            await app(scope, receive, send)
+        elif scope["type"] == "lifespan":
+            for state in ("startup", "shutdown"):
+                await receive()
+                await send({"type": f"lifespan.{state}.complete"})
+
+    async with trio.open_nursery() as nursery:
+
+        async def run(*, task_status: trio.TaskStatus[list[str]]) -> None:
+            await hypercorn.trio.serve(
+                answer,
+                config,
+                shutdown_trigger=process.stopping.wait,
+                task_status=task_status,
+                mode="asgi",
+            )
+
+        binds = await nursery.start(run)
+        task_status.started(binds[0].removeprefix("http://"))
--- /dev/null
+++ b/src/mustardfront/programs/admin/_app.py
@@ -0,0 +1,183 @@
+"""The HTTP calls of the administration API."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, Final
+from urllib.parse import parse_qs
+
+import msgspec
+import trio
+
+from mustardfront.codes import Code
+from mustardfront.constants import BODY_MAX_BYTES
+from mustardfront.coordination.config import (
+    check_ticket,
+    list_tickets,
+    parse_ticket_json,
+    read_snapshot,
+    read_ticket,
+    submit_ticket,
+)
+from mustardfront.programs._runtime import Process
+from mustardfront.programs.admin._status import read_status
+from mustardfront.results import Err, Ok, Result
+from mustardfront.state import SECTIONS, ticket_to_data
+
+LIST_DEFAULT: Final = 20
+LIST_MAX: Final = 500
+_STATUS_OF: Final = {
+    Code.TICKET_MALFORMED: 400,
+    Code.MALFORMED_REQUEST: 400,
+    Code.BODY_TOO_LARGE: 413,
+    Code.TICKET_TOO_LARGE: 413,
+    Code.TICKET_NOT_FOUND: 404,
+    Code.NO_ROUTE: 404,
+    Code.TICKET_OUT_OF_ORDER: 409,
+    Code.TICKET_RACED: 409,
+    Code.TICKET_INVALID_REFERENCE: 422,
+    Code.STORE_UNAVAILABLE: 503,
+    Code.DRAINING: 503,
+    Code.WRITE_UNKNOWN: 504,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class _Call:
+    """One request after its body was read."""
+
+    method: str
+    path: str
+    query: dict[str, list[str]]
+    body: bytes
+
+
+def make_app(process: Process) -> Callable[..., Awaitable[None]]:
+    """Return the ASGI application; ``/readyz`` fails first when the process drains."""
+
+    async def app(scope: Any, receive: Any, send: Any) -> None:
+        began = trio.current_time()
+        body = await _read_body(receive)
+        if body is None:
+            return
+        query = parse_qs(scope["query_string"].decode("latin-1"))
+        call = _Call(scope["method"], scope["path"], query, body)
+        status, kind, data = await _answer(process, call)
+        process.metrics.count("mustardfront_admin_requests", status=str(status))
+        process.metrics.observe(
+            "mustardfront_admin_request_seconds", trio.current_time() - began
+        )
+        headers = [(b"content-type", kind), (b"content-length", b"%d" % len(data))]
+        if process.draining.is_set():
+            headers.append((b"connection", b"close"))
+        start = {"type": "http.response.start", "status": status, "headers": headers}
+        await send(start)
+        await send({"type": "http.response.body", "body": data})
+
+    return app
+
+
+async def _read_body(receive: Any) -> bytes | None:
+    """Return the body, one byte over the limit when too large, None when cut off."""
+    body = bytearray()
+    while True:
+        message = await receive()
+        if message["type"] != "http.request":
+            return None
+        if len(body) <= BODY_MAX_BYTES:
+            body += message.get("body", b"")
+        if not message.get("more_body"):
+            return bytes(body[: BODY_MAX_BYTES + 1])
+
+
+async def _answer(process: Process, call: _Call) -> tuple[int, bytes, bytes]:
+    if call.path == "/metrics":
+        text = process.metrics.render().encode()
+        return 200, b"text/plain; version=0.0.4", text
+    if call.path == "/healthz":
+        return _json(200, {"instance": process.identity.instance})
+    if call.path == "/readyz":
+        reason = process.not_ready_reason()
+        return _json(503 if reason else 200, {"ready": not reason, "reason": reason})
+    if len(call.body) > BODY_MAX_BYTES:
+        result: Result[Any] = Err(
+            Code.BODY_TOO_LARGE, f"the body is over {BODY_MAX_BYTES} bytes"
+        )
+    else:
+        result = await _route(process, call)
+    if isinstance(result, Ok):
+        return _json(200, result.value)
+    error = {"code": int(result.code), "name": result.code.name, "text": result.text}
+    return _json(_STATUS_OF.get(result.code, 500), {"error": error})
+
+
+def _json(status: int, data: Any) -> tuple[int, bytes, bytes]:
+    return status, b"application/json", msgspec.json.encode(data)
+
+
+async def _route(process: Process, call: _Call) -> Result[Any]:
+    match (call.method, *call.path.strip("/").split("/")):
+        case ("POST", "v1", "tickets"):
+            return await _submit(process, call.body)
+        case ("POST", "v1", "tickets", "check"):
+            return await _check(process, call.body)
+        case ("GET", "v1", "tickets"):
+            return await _list(process, call)
+        case ("GET", "v1", "tickets", number):
+            return await _show(process, number)
+        case ("GET", "v1", "config", section, name) if section in SECTIONS:
+            return await _entry(process, section, name)
+        case ("GET", "v1", "status"):
+            return Ok(await read_status(process))
+        case _:
+            return Err(Code.NO_ROUTE, f"no call {call.method} {call.path}")
+
+
+async def _submit(process: Process, body: bytes) -> Result[Any]:
+    ticket = parse_ticket_json(body)
+    if isinstance(ticket, Err):
+        return ticket
+    result = await submit_ticket(process.kv, ticket.value)
+    code = Code.ANSWERED if isinstance(result, Ok) else result.code
+    process.metrics.count("mustardfront_tickets", result=code.name)
+    return result
+
+
+async def _check(process: Process, body: bytes) -> Result[Any]:
+    ticket = parse_ticket_json(body)
+    if isinstance(ticket, Err):
+        return ticket
+    merged = await check_ticket(process.kv, ticket.value)
+    if isinstance(merged, Err):
+        return merged
+    counts = {section: len(getattr(merged.value, section)) for section in SECTIONS}
+    return Ok({"number": ticket.value.number, "counts": counts})
+
+
+async def _list(process: Process, call: _Call) -> Result[Any]:
+    text = call.query.get("last", [str(LIST_DEFAULT)])[0]
+    if not text.isdigit() or not 1 <= int(text) <= LIST_MAX:
+        return Err(Code.MALFORMED_REQUEST, f"last={text}: 1 to {LIST_MAX} are allowed")
+    tickets = await list_tickets(process.kv, int(text))
+    if isinstance(tickets, Err):
+        return tickets
+    return Ok({"tickets": [ticket_to_data(ticket) for ticket in tickets.value]})
+
+
+async def _show(process: Process, number: str) -> Result[Any]:
+    if not number.isdigit():
+        return Err(Code.MALFORMED_REQUEST, f"{number!r} is not a ticket number")
+    ticket = await read_ticket(process.kv, int(number))
+    return ticket if isinstance(ticket, Err) else Ok(ticket_to_data(ticket.value))
+
+
+async def _entry(process: Process, section: str, name: str) -> Result[Any]:
+    """Return an entry of the newest accepted configuration and the next number."""
+    cfg = await read_snapshot(process.kv)
+    if isinstance(cfg, Err):
+        return cfg
+    entry = getattr(cfg.value, section).get(name)
+    if entry is None:
+        return Err(Code.TICKET_INVALID_REFERENCE, f"no entry {section}/{name}")
+    return Ok({"version": cfg.value.version, "entry": entry})
--- a/src/mustardfront_standins/hosts.py
+++ b/src/mustardfront_standins/hosts.py
@@ -51,6 +51,11 @@
     """Return the ASGI application of the host list."""
 
     async def app(scope: Any, receive: Any, send: Any) -> None:
+        if scope["type"] == "lifespan":
+            for state in ("startup", "shutdown"):
+                await receive()
+                await send({"type": f"lifespan.{state}.complete"})
+            return
         if scope["type"] != "http":
             return
         body = b""
@@ -105,7 +110,8 @@
     async with trio.open_nursery() as nursery:
         app = make_app(HostTable(lag_s))
         binds = await nursery.start(hypercorn.trio.serve, app, config)
-        click.echo(json.dumps({"ready": True, "address": binds[0]}))
+        address = binds[0].removeprefix("http://")
+        click.echo(json.dumps({"address": address, "url": f"http://{address}"}))
 
 
 @click.command()
