Add the operators' command line for tickets, status and draining

Cause: operators drive the system through numbered tickets and need them without writing HTTP calls by hand.

A lost answer is asked for again with the same ticket, which is accepted only once. The admin API has GET /v1/config/{kind}[/{name}] for this.

--- a/src/mustardfront/programs/admin/_app.py
+++ b/src/mustardfront/programs/admin/_app.py
@@ -126,6 +126,8 @@
             return await _list(process, call)
         case ("GET", "v1", "tickets", number):
             return await _show(process, number)
+        case ("GET", "v1", "config", section) if section in SECTIONS:
+            return await _names(process, section)
         case ("GET", "v1", "config", section, name) if section in SECTIONS:
             return await _entry(process, section, name)
         case ("GET", "v1", "status"):
@@ -172,8 +174,17 @@
     return ticket if isinstance(ticket, Err) else Ok(ticket_to_data(ticket.value))
 
 
+async def _names(process: Process, section: str) -> Result[Any]:
+    """Return the names in a section of the newest accepted configuration."""
+    cfg = await read_snapshot(process.kv)
+    if isinstance(cfg, Err):
+        return cfg
+    names = sorted(getattr(cfg.value, section))
+    return Ok({"version": cfg.value.version, "names": names})
+
+
 async def _entry(process: Process, section: str, name: str) -> Result[Any]:
-    """Return an entry of the newest accepted configuration and the next number."""
+    """Return an entry of the newest accepted configuration, and its version."""
     cfg = await read_snapshot(process.kv)
     if isinstance(cfg, Err):
         return cfg
--- /dev/null
+++ b/src/mustardfront/programs/cli/_client.py
@@ -0,0 +1,90 @@
+"""HTTP calls on administration APIs and entries, tried in turn."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any, Final
+
+import httpcore
+
+from mustardfront.codes import Code
+from mustardfront.results import Err, Ok, Result
+
+TIMEOUT_S: Final = 30.0
+_CONNECT_TIMEOUT_S: Final = 3.0
+# The API that answers is not at fault, but another one may be able to help.
+_TRY_NEXT: Final = frozenset({Code.DRAINING, Code.NOT_READY})
+_NOT_SENT: Final = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Api:
+    """The same API at one or more addresses."""
+
+    urls: Sequence[str]
+
+    def get(self, path: str) -> Result[Any]:
+        """Return the JSON answer; Err(CONNECT_FAILED) when no address answers."""
+        return self._call("GET", path, None)
+
+    def post(self, path: str, data: Any) -> Result[Any]:
+        """Send JSON; Err(WRITE_UNKNOWN) when it may have been taken.
+
+        Only for calls that are safe to repeat, such as a numbered ticket.
+        """
+        return self._call("POST", path, json.dumps(data).encode())
+
+    def _call(self, method: str, path: str, body: bytes | None) -> Result[Any]:
+        last = Err(Code.CONNECT_FAILED, "no address given")
+        in_doubt = False
+        for url in self.urls:
+            answer = _request(method, f"{url}{path}", body)
+            if isinstance(answer, Ok):
+                return answer
+            in_doubt = in_doubt or answer.code is Code.WRITE_UNKNOWN
+            last = answer
+            if answer.code not in (
+                *_TRY_NEXT,
+                Code.CONNECT_FAILED,
+                Code.STORE_UNAVAILABLE,
+                Code.WRITE_UNKNOWN,
+            ):
+                return answer
+        return Err(Code.WRITE_UNKNOWN, last.text) if in_doubt else last
+
+
+def _request(method: str, url: str, body: bytes | None) -> Result[Any]:
+    timeouts = dict.fromkeys(("read", "write", "pool"), TIMEOUT_S)
+    try:
+        response = httpcore.request(
+            method,
+            url,
+            headers={"Content-Type": "application/json"},
+            content=body,
+            extensions={"timeout": timeouts | {"connect": _CONNECT_TIMEOUT_S}},
+        )
+    except _NOT_SENT as exc:
+        return Err(Code.CONNECT_FAILED, f"{url}: {exc}")
+    except (
+        httpcore.NetworkError,
+        httpcore.TimeoutException,
+        httpcore.ProtocolError,
+    ) as exc:
+        code = Code.CONNECT_FAILED if body is None else Code.WRITE_UNKNOWN
+        return Err(code, f"{url}: the answer was lost: {type(exc).__name__} {exc}")
+    try:
+        data = json.loads(response.content)
+        if response.status < 400:
+            return Ok(data)
+        error = data["error"]
+        return Err(Code(error["code"]), str(error["text"]))
+    except (ValueError, KeyError, TypeError):
+        text = f"{url}: status {response.status} without a readable answer"
+        # Something else than the API answered, so a write was not proved either way.
+        return Err(Code.CONNECT_FAILED if body is None else Code.WRITE_UNKNOWN, text)
