--- /dev/null
+++ b/src/mustardfront_standins/engine/__main__.py
@@ -0,0 +1,5 @@
+"""Run the engine stand-in."""
+
+from mustardfront_standins.engine import main
+
+main()
--- /dev/null
+++ b/src/mustardfront_standins/plain/__main__.py
@@ -0,0 +1,5 @@
+"""Run the plain stand-in."""
+
+from mustardfront_standins.plain import main
+
+main()
