Add the sidecar program and the quarantine of crashing requests

The sidecar admits, runs and reports the requests of one upstream. A request is handed over from immediately before its first byte is written, which httpcore's trace shows; before that a refusal proves that it did not run, after it only an end marker or a body of known length is an answer.

--- a/src/mustardfront/coordination/quarantine/__init__.py
+++ b/src/mustardfront/coordination/quarantine/__init__.py
@@ -1,1 +1,6 @@
-"""Requests that crash their upstreams."""
+"""Requests that crash upstreams: suspects, and those held after a second crash."""
+
+from mustardfront.coordination.quarantine._quarantine import Quarantine
+from mustardfront.coordination.quarantine._suspects import Suspicion, blamed
+
+__all__ = ["Quarantine", "Suspicion", "blamed"]
--- /dev/null
+++ b/src/mustardfront/programs/sidecar/__main__.py
@@ -0,0 +1,5 @@
+"""Run the sidecar."""
+
+from mustardfront.programs.sidecar import main
+
+main()
--- /dev/null
+++ b/src/mustardfront/programs/sidecar/_peers.py
@@ -0,0 +1,181 @@
+"""Connections from entries and other peers."""
+
+from __future__ import annotations
+
+import itertools
+import traceback
+from typing import Final
+
+import trio
+
+from mustardfront import events
+from mustardfront.codes import Code
+from mustardfront.constants import DEADLINE_MAX_MS, PEER_SILENCE_S, PING_INTERVAL_S
+from mustardfront.coordination.config import ConfigStore
+from mustardfront.coordination.peers import ControlHandler
+from mustardfront.programs.sidecar._attempt import Attempt
+from mustardfront.programs.sidecar._pauses import PauseMeter
+from mustardfront.programs.sidecar._relay import run_attempt
+from mustardfront.programs.sidecar._side import Sidecar
+from mustardfront.protocol import (
+    Cancel,
+    ConfigPush,
+    CrashReport,
+    Credit,
+    Fault,
+    Leaving,
+    Message,
+    PeerConnection,
+    Ping,
+    Pong,
+    Request,
+)
+from mustardfront.results import Err
+from mustardfront.state import config_from_bytes
+
+REPORT_INTERVAL_S: Final = 2.0
+REPORT_SPACING_S: Final = 0.05
+
+
+async def serve_connection(
+    side: Sidecar, pauses: PauseMeter, conn: PeerConnection
+) -> None:
+    """Take requests from one peer until it goes, is silent or this process ends.
+
+    Calls that must not be repeated run to their end even when the caller is gone.
+    """
+    attempts: dict[int, Attempt] = {}
+    async with trio.open_nursery() as nursery:
+        with side.connected() as scope, scope, side.hub.attached(conn):
+            async with trio.open_nursery() as control:
+                control.start_soon(_send_pings, side, conn)
+                await side.hub.greet(conn)
+                await _receive(side, pauses, conn, attempts, nursery)
+                control.cancel_scope.cancel()
+        for attempt in tuple(attempts.values()):
+            attempt.cancel()
+
+
+async def _receive(
+    side: Sidecar,
+    pauses: PauseMeter,
+    conn: PeerConnection,
+    attempts: dict[int, Attempt],
+    nursery: trio.Nursery,
+) -> None:
+    while True:
+        with trio.move_on_after(PEER_SILENCE_S) as silence:
+            message = await conn.receive()
+        if silence.cancelled_caught:
+            events.log(events.Event.PEER_SILENT, peer=conn.remote.instance)
+            return
+        if isinstance(message, Err):
+            return
+        match message.value:
+            case Request() as req if req.stream in attempts:
+                text = f"stream {req.stream} is in use"
+                await conn.send(Fault(int(Code.BAD_MESSAGE), text))
+                return
+            case Request() as req:
+                attempt = Attempt(req, conn, _deadline_s(req, pauses))
+                attempts[req.stream] = attempt
+                nursery.start_soon(_run_guarded, side, attempt, attempts)
+            case Credit(stream, chunks) if stream in attempts:
+                attempts[stream].add_credit(chunks)
+            case Cancel(stream) if stream in attempts:
+                attempts[stream].cancel()
+            case Credit() | Cancel():
+                # The attempt ended while the message was on its way.
+                pass
+            case other:
+                await side.hub.handle(conn, other)
+
+
+def _deadline_s(req: Request, pauses: PauseMeter) -> float:
+    allowed_s = min(req.deadline_ms, DEADLINE_MAX_MS) / 1e3
+    return trio.current_time() + allowed_s - pauses.lost_s()
+
+
+async def _run_guarded(
+    side: Sidecar, attempt: Attempt, attempts: dict[int, Attempt]
+) -> None:
+    """Keep a fault in one attempt from ending the others."""
+    try:
+        await run_attempt(side, attempt)
+    except Exception as exc:
+        events.log(
+            events.Event.TASK_FAILED,
+            request_id=attempt.req.request_id,
+            text="".join(traceback.format_exception(exc))[-2_000:],
+        )
+        err = Err(Code.INTERNAL_ERROR, "internal error in the sidecar")
+        handed_over = attempt.handed_over
+        last = attempt.ended(err) if handed_over else attempt.refused(err)
+        await attempt.send(last)
+    finally:
+        del attempts[attempt.req.stream]
+
+
+async def _send_pings(side: Sidecar, conn: PeerConnection) -> None:
+    for nonce in itertools.count(1):
+        conn.send_nowait(Ping(nonce, side.store.current.version))
+        await trio.sleep(PING_INTERVAL_S)
+
+
+def control_handler(side: Sidecar) -> ControlHandler:
+    """Return the handler of pings and crash reports."""
+
+    async def handle(conn: PeerConnection, message: Message) -> bool:
+        match message:
+            case Ping(nonce, _):
+                conn.send_nowait(Pong(nonce, side.store.current.version))
+            case Pong():
+                pass
+            case CrashReport(upstream, instance, fingerprints):
+                # Only news are passed on, so a report does not circle for ever.
+                if side.quarantine.crashed(upstream, instance, fingerprints):
+                    side.hub.broadcast(message)
+            case _:
+                return False
+        return True
+
+    return handle
+
+
+def push_handler(store: ConfigStore) -> ControlHandler:
+    """Return a handler that puts configurations pushed by peers in force."""
+
+    async def handle(conn: PeerConnection, message: Message) -> bool:
+        if not isinstance(message, ConfigPush):
+            return False
+        cfg = config_from_bytes(message.data)
+        if isinstance(cfg, Err):
+            events.log(
+                events.Event.PEER_BAD_MESSAGE,
+                peer=conn.remote.instance,
+                code=int(cfg.code),
+                text=cfg.text,
+            )
+        else:
+            store.offer(cfg.value, conn.remote.instance)
+        return True
+
+    return handle
+
+
+async def greet(side: Sidecar, conn: PeerConnection) -> None:
+    """Tell a new peer the load, whether this upstream leaves, and known crashes."""
+    await conn.send(side.load_report())
+    if side.draining:
+        await conn.send(Leaving(side.upstream))
+    for (upstream, instance), fingerprints in side.quarantine.known().items():
+        await conn.send(CrashReport(upstream, instance, fingerprints))
+
+
+async def report_loads(side: Sidecar) -> None:
+    """Send a load report after each change and at least every 2 s."""
+    while True:
+        with trio.move_on_after(REPORT_INTERVAL_S):
+            await side.load_changed.wait()
+        side.hub.broadcast(side.load_report(), role="entry")
+        await trio.sleep(REPORT_SPACING_S)
--- a/src/mustardfront_standins/plain/_main.py
+++ b/src/mustardfront_standins/plain/_main.py
@@ -1,8 +1,8 @@
 """Plain HTTP service: look-ups, and bookings that are counted by caller-supplied id.
 
-``GET /records/{id}`` answers with the record and how often it ran; ``POST /records/{id}``
-runs once more each time it is called; ``GET /runs`` gives all counts, so that a test
-can detect a doubled run. ``--delay-ms`` or the query's ``delay_ms`` delays a run, and
+``GET /records/{id}`` answers with the record and how often it ran, ``POST`` runs it
+once more each time it is called, and ``GET /runs`` gives all counts, so that a test can
+detect a doubled run. ``--delay-ms`` or the query's ``delay_ms`` delays a run, and
 ``crash=before`` or ``crash=after`` in the query ends the process around the run.
 """
 
