Run the sidecar on the shared runtime, fair queue and adaptive limit

The first-in-first-out limit is gone. Signals, readiness, pings and configuration come from the runtime; the sidecar adds the drain by ticket and by host list. The configured queue length may change, so the admission checks it and the queue itself has no bound.

--- a/src/mustardfront/programs/sidecar/_main.py
+++ b/src/mustardfront/programs/sidecar/_main.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import sys
-from functools import partial
 
 import click
-import trio
 
-from mustardfront import events, settings
-from mustardfront.programs.sidecar._program import Settings, run_sidecar
+from mustardfront import settings
+from mustardfront.programs._runtime import Settings, run_process
+from mustardfront.programs.sidecar._program import SidecarProgram
 
 
 @click.command()
@@ -29,27 +28,13 @@
     key_file: bytes,
 ) -> None:
     """Admit, run and report the requests of one upstream."""
-    events.start_logging("sidecar", host=host, upstream_name=upstream_name)
-    events.log(events.Event.PROCESS_STARTED)
-    checked = Settings(
-        peer_listen, upstream_name, upstream_url, host, place, kv, host_list, key_file
+    common = Settings(peer_listen, host, place, kv, host_list, key_file)
+    program = SidecarProgram(upstream_url)
+    code = run_process(
+        "sidecar",
+        common,
+        program.serve,
+        upstream=upstream_name,
+        peer_handler=program.peer_handler,
     )
-    try:
-        trio.run(partial(run_sidecar, checked))
-    except* OSError as group:
-        address = f"{peer_listen[0]}:{peer_listen[1]}"
-        variable = settings.env_name("--peer-listen")
-        text = (
-            f"--peer-listen (variable {variable}) has the value {address!r}:"
-            f" {_first(group)}; allowed: a free address of this host"
-        )
-        events.log(events.Event.SETTING_REFUSED, text=text)
-        click.echo(f"Error: {text}", err=True)
-        sys.exit(2)
-
-
-def _first(group: BaseExceptionGroup[OSError]) -> str:
-    exc: BaseException = group
-    while isinstance(exc, BaseExceptionGroup):
-        exc = exc.exceptions[0]
-    return str(exc)
+    sys.exit(code)
--- a/src/mustardfront/programs/sidecar/_peers.py
+++ b/src/mustardfront/programs/sidecar/_peers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
 import traceback
 from typing import Final
 
@@ -10,8 +9,7 @@
 
 from mustardfront import events
 from mustardfront.codes import Code
-from mustardfront.constants import DEADLINE_MAX_MS, PEER_SILENCE_S, PING_INTERVAL_S
-from mustardfront.coordination.config import ConfigStore
+from mustardfront.constants import DEADLINE_MAX_MS
 from mustardfront.coordination.peers import ControlHandler
 from mustardfront.programs.sidecar._attempt import Attempt
 from mustardfront.programs.sidecar._pauses import PauseMeter
@@ -19,19 +17,15 @@
 from mustardfront.programs.sidecar._side import Sidecar
 from mustardfront.protocol import (
     Cancel,
-    ConfigPush,
     CrashReport,
     Credit,
     Fault,
     Leaving,
     Message,
     PeerConnection,
-    Ping,
-    Pong,
     Request,
 )
 from mustardfront.results import Err
-from mustardfront.state import config_from_bytes
 
 REPORT_INTERVAL_S: Final = 2.0
 REPORT_SPACING_S: Final = 0.05
@@ -46,12 +40,9 @@
     """
     attempts: dict[int, Attempt] = {}
     async with trio.open_nursery() as nursery:
-        with side.connected() as scope, scope, side.hub.attached(conn):
-            async with trio.open_nursery() as control:
-                control.start_soon(_send_pings, side, conn)
-                await side.hub.greet(conn)
-                await _receive(side, pauses, conn, attempts, nursery)
-                control.cancel_scope.cancel()
+        with side.hub.attached(conn):
+            await side.hub.greet(conn)
+            await _receive(side, pauses, conn, attempts, nursery)
         for attempt in tuple(attempts.values()):
             attempt.cancel()
 
@@ -64,11 +55,7 @@
     nursery: trio.Nursery,
 ) -> None:
     while True:
-        with trio.move_on_after(PEER_SILENCE_S) as silence:
-            message = await conn.receive()
-        if silence.cancelled_caught:
-            events.log(events.Event.PEER_SILENT, peer=conn.remote.instance)
-            return
+        message = await conn.receive()
         if isinstance(message, Err):
             return
         match message.value:
@@ -116,48 +103,17 @@
         del attempts[attempt.req.stream]
 
 
-async def _send_pings(side: Sidecar, conn: PeerConnection) -> None:
-    for nonce in itertools.count(1):
-        conn.send_nowait(Ping(nonce, side.store.current.version))
-        await trio.sleep(PING_INTERVAL_S)
-
-
-def control_handler(side: Sidecar) -> ControlHandler:
-    """Return the handler of pings and crash reports."""
-
-    async def handle(conn: PeerConnection, message: Message) -> bool:
-        match message:
-            case Ping(nonce, _):
-                conn.send_nowait(Pong(nonce, side.store.current.version))
-            case Pong():
-                pass
-            case CrashReport(upstream, instance, fingerprints):
-                # Only news are passed on, so a report does not circle for ever.
-                if side.quarantine.crashed(upstream, instance, fingerprints):
-                    side.hub.broadcast(message)
-            case _:
-                return False
-        return True
-
-    return handle
-
-
-def push_handler(store: ConfigStore) -> ControlHandler:
-    """Return a handler that puts configurations pushed by peers in force."""
+def crash_handler(side: Sidecar) -> ControlHandler:
+    """Return the handler of crash reports from peers."""
 
     async def handle(conn: PeerConnection, message: Message) -> bool:
-        if not isinstance(message, ConfigPush):
+        if not isinstance(message, CrashReport):
             return False
-        cfg = config_from_bytes(message.data)
-        if isinstance(cfg, Err):
-            events.log(
-                events.Event.PEER_BAD_MESSAGE,
-                peer=conn.remote.instance,
-                code=int(cfg.code),
-                text=cfg.text,
-            )
-        else:
-            store.offer(cfg.value, conn.remote.instance)
+        # Only news are passed on, so a report does not circle for ever.
+        if side.quarantine.crashed(
+            message.upstream, message.instance, message.fingerprints
+        ):
+            side.hub.broadcast(message)
         return True
 
     return handle
--- a/src/mustardfront/programs/sidecar/_program.py
+++ b/src/mustardfront/programs/sidecar/_program.py
@@ -1,135 +1,116 @@
-"""Assembly, start and end of the sidecar program."""
+"""Assembly, configuration and end of the sidecar program."""
 
 from __future__ import annotations
 
-import signal
-import uuid
-from dataclasses import dataclass
+from collections.abc import Mapping
 from functools import partial
 from typing import Final
 
 import trio
 
-from mustardfront import events
-from mustardfront.constants import DRAIN_TIMEOUT_S, READINESS_GRACE_S
-from mustardfront.coordination.config import ConfigStore
-from mustardfront.coordination.peers import PeerHub
-from mustardfront.coordination.quarantine import Quarantine
+from mustardfront.codes import Code
+from mustardfront.programs._runtime import Process
 from mustardfront.programs.sidecar._health import Health
 from mustardfront.programs.sidecar._pauses import PauseMeter
 from mustardfront.programs.sidecar._peers import (
-    control_handler,
+    crash_handler,
     greet,
-    push_handler,
     report_loads,
     serve_connection,
 )
 from mustardfront.programs.sidecar._side import Sidecar
 from mustardfront.programs.sidecar._upstream import UpstreamClient
-from mustardfront.protocol import Identity, serve_peers
+from mustardfront.protocol import Handler
+from mustardfront.results import Err
 from mustardfront.state import Config
 
 # Time for the last replies to reach the peers before the connections close.
 FLUSH_S: Final = 0.25
 
 
-@dataclass(frozen=True, slots=True)
-class Settings:
-    """Checked settings of one sidecar process."""
-
-    peer_listen: tuple[str, int]
-    upstream_name: str
-    upstream_url: str
-    host: str
-    place: str
-    kv: str
-    host_list: str
-    key: bytes
-
-
-async def run_sidecar(settings: Settings) -> None:
-    """Serve peers until a signal ends the process; raise OSError on a taken port."""
-    identity = Identity(
-        "sidecar",
-        settings.host,
-        settings.place,
-        uuid.uuid4().hex,
-        settings.upstream_name,
-    )
-    client, health_client = (UpstreamClient(settings.upstream_url) for _ in range(2))
-    hub, store = PeerHub(), ConfigStore()
-    quarantine = Quarantine(trio.current_time)
-    side = Sidecar(settings.upstream_name, client, store, hub, quarantine)
-    health = Health(side, health_client)
-    side.confirm_loss = health.confirm_loss
-    pauses = PauseMeter()
-    hub.add_handler(control_handler(side))
-    hub.add_handler(push_handler(store))
-    hub.add_greeting(partial(greet, side))
-    async with trio.open_nursery() as nursery:
-        # Signals are taken from the start, so that none ends the process by default.
-        await nursery.start(_end_on_signals, side, nursery.cancel_scope)
-        address = await nursery.start(
-            serve_peers,
-            settings.peer_listen,
-            identity,
-            settings.key,
-            partial(serve_connection, side, pauses),
-        )
-        nursery.start_soon(pauses.run)
-        nursery.start_soon(health.run)
-        nursery.start_soon(report_loads, side)
-        nursery.start_soon(store.follow, partial(_apply, side))
-        events.log(
-            events.Event.PROCESS_READY,
-            peer_listen=f"{address[0]}:{address[1]}",
-            upstream=settings.upstream_name,
-            instance=identity.instance,
+class SidecarProgram:
+    """What the shared runtime calls: the peers' handler and the program's own part."""
+
+    def __init__(self, upstream_url: str) -> None:
+        self._url = upstream_url
+        self._side: Sidecar
+
+    def peer_handler(self, process: Process) -> Handler:
+        """Return the handler of accepted connections."""
+        side = Sidecar(
+            process.identity.upstream,
+            UpstreamClient(self._url),
+            process.store,
+            process.hub,
         )
-    await client.aclose()
-    await health_client.aclose()
-    events.log(events.Event.PROCESS_STOPPED, upstream=settings.upstream_name)
+        process.hub.add_handler(crash_handler(side))
+        process.hub.add_greeting(partial(greet, side))
+        self._side = side
+        self._pauses = PauseMeter()
+        return partial(serve_connection, side, self._pauses)
+
+    async def serve(
+        self,
+        process: Process,
+        *,
+        task_status: trio.TaskStatus[Mapping[str, str]] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve the upstream until the process stops and nothing is in flight."""
+        side = self._side
+        # Checks have their own connections, so that requests cannot hold them up.
+        health_client = UpstreamClient(self._url)
+        health = Health(side, health_client)
+        side.confirm_loss = health.confirm_loss
+        _add_gauges(process, side)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._pauses.run)
+            nursery.start_soon(health.run)
+            nursery.start_soon(report_loads, side)
+            nursery.start_soon(process.store.follow, partial(apply_config, side))
+            nursery.start_soon(_follow_hosts, process, side)
+            task_status.started({})
+            await process.draining.wait()
+            side.set_drain("signal", True)
+            await process.stopping.wait()
+            while side.attempts:
+                await side.load_changed.wait()
+            await _close_connections(process)
+            nursery.cancel_scope.cancel()
+        await side.client.aclose()
+        await health_client.aclose()
+
+
+async def _close_connections(process: Process) -> None:
+    await trio.sleep(FLUSH_S)
+    for conn in process.hub.connections:
+        process.hub.close(conn, Err(Code.CONNECTION_CLOSED, "the sidecar ends"))
+    # The connections' writers now send what is queued.
+    await trio.sleep(FLUSH_S)
 
 
-async def _apply(side: Sidecar, cfg: Config) -> None:
+async def apply_config(side: Sidecar, cfg: Config) -> None:
     """Take over what a newer configuration says about this upstream."""
     entry = cfg.upstreams.get(side.upstream)
     if entry is not None:
-        side.limits = cfg.limits_of(entry.service)
-        side.queue.max_queued = side.limits.queue
-        side.queue.wake()
+        side.set_limits(cfg.limits_of(entry.service))
     side.set_drain("ticket", cfg.is_draining(side.upstream))
     side.changed()
 
 
-async def _end_on_signals(
-    side: Sidecar,
-    everything: trio.CancelScope,
-    *,
-    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
-) -> None:
-    """Drain at the first signal; a second SIGINT ends at once, a SIGTERM does not."""
-    interrupts = 0
-    async with trio.open_nursery() as nursery:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            task_status.started()
-            async for number in signals:
-                interrupts += number == signal.SIGINT
-                if interrupts == 2:
-                    everything.cancel()
-                elif "signal" not in side.drain_reasons:
-                    side.set_drain("signal", True)
-                    nursery.start_soon(_drain, side, everything)
-
-
-async def _drain(side: Sidecar, everything: trio.CancelScope) -> None:
-    """Wait for what is in flight, close the connections and end the process."""
-    await trio.sleep(READINESS_GRACE_S)
-    with trio.move_on_after(DRAIN_TIMEOUT_S):
-        while side.attempts:
-            await side.load_changed.wait()
-    await trio.sleep(FLUSH_S)
-    side.close_connections()
-    # The connections' writers now send what is queued.
-    await trio.sleep(FLUSH_S)
-    everything.cancel()
+async def _follow_hosts(process: Process, side: Sidecar) -> None:
+    """Drain while the host list says that this host is leaving."""
+    while True:
+        leaving = process.hosts.state_of(process.identity.host) == "leaving"
+        side.set_drain("host list", leaving)
+        await process.hosts.wait_changed()
+
+
+def _add_gauges(process: Process, side: Sidecar) -> None:
+    gauges = {
+        "mustardfront_in_flight": lambda: float(side.queue.in_flight),
+        "mustardfront_queued": lambda: float(side.queue.queued),
+        "mustardfront_limit": lambda: float(side.limit),
+        "mustardfront_upstream_up": lambda: float(side.healthy),
+    }
+    for name, read in gauges.items():
+        process.metrics.gauge(name, read)
--- a/src/mustardfront/programs/sidecar/_relay.py
+++ b/src/mustardfront/programs/sidecar/_relay.py
@@ -31,6 +31,8 @@
 # Pieces of a plain body; a frame holds one with room for the rest of the message.
 PIECE_MAX_BYTES: Final = 256 * 1024
 CANCEL_TIMEOUT_S: Final = 1.0
+# The upstream's own signs of too much work.
+OVERLOAD_STATUSES: Final = frozenset({429, 503})
 
 
 async def run_attempt(side: Sidecar, attempt: Attempt) -> None:
@@ -70,6 +72,9 @@
     while True:
         suspect = _is_suspect(side, attempt)
         async with _turn(side, suspect):
+            if side.queue.queued >= side.limits.queue and side.is_full:
+                text = f"{side.queue.queued} requests wait already"
+                return attempt.refused(Err(Code.QUEUE_FULL, text), RETRY_AFTER_MS)
             slot = await side.queue.acquire(
                 req.team, _weight(side, req.team), req.priority, attempt.deadline_s
             )
@@ -122,8 +127,9 @@
             if not attempt.handed_over:
                 return attempt.refused(answer, RETRY_AFTER_MS)
             return await _lost(side, attempt, answer)
-        side.observe_latency(trio.current_time() - started_s)
         head = answer.value
+        overloaded = head.status in OVERLOAD_STATUSES
+        side.observe(trio.current_time() - started_s, overloaded=overloaded)
         await attempt.send(Head(attempt.req.stream, head.status, head.headers))
         relay = _relay_tokens if _is_token_stream(attempt, head) else _relay_body
         done = await relay(attempt, head)
--- a/src/mustardfront/programs/sidecar/_side.py
+++ b/src/mustardfront/programs/sidecar/_side.py
@@ -2,24 +2,29 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Iterator
-from contextlib import contextmanager
+import sys
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import Final
 
 import trio
 
 from mustardfront import events
 from mustardfront.coordination.config import ConfigStore
+from mustardfront.coordination.limits import AdaptiveLimit, FairQueue
 from mustardfront.coordination.peers import PeerHub
 from mustardfront.coordination.quarantine import Quarantine
 from mustardfront.programs.sidecar._attempt import Attempt
-from mustardfront.programs.sidecar._queue import FifoQueue
 from mustardfront.programs.sidecar._upstream import UpstreamClient
 from mustardfront.protocol import Leaving, LoadReport
 from mustardfront.state import Limits
 
 # Weight of a new sample in the smoothed latency of the load report.
-LATENCY_SMOOTHING = 0.1
+LATENCY_SMOOTHING: Final = 0.1
+# The adaptive limit moves between the configured one and this fraction of it.
+LIMIT_RANGE: Final = 8
+# The limit is logged when it moved by a quarter since the last time.
+LIMIT_LOG_STEPS: Final = 4
 
 
 async def _no_loss(_attempt: Attempt) -> bool:
@@ -34,7 +39,6 @@
     client: UpstreamClient
     store: ConfigStore
     hub: PeerHub
-    quarantine: Quarantine
     limits: Limits = field(default_factory=Limits)
     attempts: set[Attempt] = field(default_factory=set)
     # Answers health checks; before the first good one the upstream takes no work.
@@ -47,10 +51,31 @@
     load_changed: trio.Event = field(default_factory=trio.Event)
     # Says whether the upstream process that ran an attempt is gone; see ``Health``.
     confirm_loss: Callable[[Attempt], Awaitable[bool]] = _no_loss
-    _connections: set[trio.CancelScope] = field(default_factory=set)
 
     def __post_init__(self) -> None:
-        self.queue = FifoQueue(lambda: self.limits.max_in_flight, self.limits.queue)
+        self.quarantine = Quarantine(trio.current_time)
+        # The configured queue length changes, so the admission checks it.
+        self.queue = FairQueue(lambda: self.limit, sys.maxsize)
+        self.set_limits(self.limits)
+
+    def set_limits(self, limits: Limits) -> None:
+        """Put configured limits in force; what was learned under others is dropped."""
+        if limits != self.limits or not hasattr(self, "_adaptive"):
+            most = max(1, limits.max_in_flight)
+            least = max(1, most // LIMIT_RANGE)
+            self._adaptive = AdaptiveLimit(most, least, most)
+            self._logged_limit = most
+        self.limits = limits
+
+    @property
+    def limit(self) -> int:
+        """Return how many requests may run at a time."""
+        return self._adaptive.limit
+
+    @property
+    def is_full(self) -> bool:
+        """Say whether a new request has to wait."""
+        return self.queue.queued > 0 or self.queue.in_flight >= self.limit
 
     @property
     def draining(self) -> bool:
@@ -103,27 +128,17 @@
         changed, self.load_changed = self.load_changed, trio.Event()
         changed.set()
 
-    @contextmanager
-    def connected(self) -> Iterator[trio.CancelScope]:
-        """Yield a scope that ends when this process closes its connections."""
-        scope = trio.CancelScope()
-        self._connections.add(scope)
-        try:
-            yield scope
-        finally:
-            self._connections.discard(scope)
-
-    def close_connections(self) -> None:
-        """Stop receiving on all connections; what is queued still goes out."""
-        for scope in self._connections:
-            scope.cancel()
-
-    def observe_latency(self, seconds: float) -> None:
-        """Add the time from hand-over to the first part of an answer."""
+    def observe(self, seconds: float, *, overloaded: bool) -> None:
+        """Learn from the time between hand-over and the first part of an answer."""
         sample = seconds * 1e3
         if not self.latency_ms:
             self.latency_ms = sample
         self.latency_ms += (sample - self.latency_ms) * LATENCY_SMOOTHING
+        self._adaptive.observe(seconds, self.queue.in_flight, not overloaded)
+        before, limit = self._logged_limit, self.limit
+        if abs(limit - before) * LIMIT_LOG_STEPS >= before:
+            self._logged_limit = limit
+            events.log(events.Event.LIMIT_CHANGED, limit=limit, before=before)
 
     def load_report(self) -> LoadReport:
         """Return the load at this moment."""
@@ -131,7 +146,7 @@
             upstream=self.upstream,
             in_flight=self.queue.in_flight,
             queued=self.queue.queued,
-            limit=self.limits.max_in_flight,
+            limit=self.limit,
             state=self.state,
             latency_ms=self.latency_ms,
         )
--- a/tests/running.py
+++ b/tests/running.py
@@ -57,11 +57,12 @@
             self._grew.set()
             self._grew = trio.Event()
 
-    async def line_with(self, key: str, value) -> dict:
+    async def line_with(self, key: str, value=None) -> dict:
+        """Wait for a line that has the key, with the value unless it is None."""
         with trio.fail_after(STEP_LIMIT_S):
             while True:
                 for line in self.lines:
-                    if line.get(key) == value:
+                    if key in line and value in (None, line[key]):
                         return line
                 await self._grew.wait()
 
@@ -99,13 +100,13 @@
 async def standin(name: str, *args: str) -> AsyncIterator[tuple[Program, dict]]:
     async with program(f"mustardfront_standins.{name}", *args) as started:
         with trio.fail_after(START_LIMIT_S):
-            ready = await started.line_with("ready", True)
+            ready = await started.line_with("url")
         yield started, ready
 
 
 @asynccontextmanager
 async def sidecar(
-    url: str, key_file, listen: str = "127.0.0.1:0"
+    url: str, key_file, kv_url: str, listen: str = "127.0.0.1:0"
 ) -> AsyncIterator[tuple[Program, str]]:
     args = {
         "upstream-name": "w1",
@@ -113,7 +114,7 @@
         "peer-listen": listen,
         "host": "h1",
         "place": "a",
-        "kv": "http://127.0.0.1:1",
+        "kv": kv_url,
         "host-list": "http://127.0.0.1:1",
         "key-file": str(key_file),
     }
@@ -121,9 +122,8 @@
     async with program("mustardfront.programs.sidecar", *flags) as started:
         with trio.fail_after(START_LIMIT_S):
             ready = await started.line_with("message_type", "process-ready")
-            if url != "http://127.0.0.1:1":
-                await started.line_with("message_type", "upstream-state")
-        yield started, ready["peer_listen"]
+            await started.line_with("message_type", "upstream-state")
+        yield started, ready["addresses"]["peer"]
 
 
 def make_config(version: int = 1, upstream_state: str = "active", **limits) -> Config:
--- a/tests/test_sidecar_processes.py
+++ b/tests/test_sidecar_processes.py
@@ -1,6 +1,5 @@
 """The real sidecar process against real stand-ins, with kills and freezes."""
 
-
 import pytest
 
 from mustardfront.codes import Code
@@ -27,7 +26,8 @@
     # Guards against a sidecar that needs a configuration to start, or a short answer.
     async with (
         standin("engine", "--step-ms", "1") as (_, ready),
-        sidecar(ready["url"], key_file) as (_, address),
+        standin("kv") as (_, kv),
+        sidecar(ready["url"], key_file, kv["url"]) as (_, address),
         caller(address) as one,
     ):
         early = await one.run(completion("p", 8))
