--- a/src/mustardfront/programs/sidecar/_relay.py
+++ b/src/mustardfront/programs/sidecar/_relay.py
@@ -72,12 +72,7 @@
     while True:
         suspect = _is_suspect(side, attempt)
         async with _turn(side, suspect):
-            if side.queue.queued >= side.limits.queue and side.is_full:
-                text = f"{side.queue.queued} requests wait already"
-                return attempt.refused(Err(Code.QUEUE_FULL, text), RETRY_AFTER_MS)
-            slot = await side.queue.acquire(
-                req.team, _weight(side, req.team), req.priority, attempt.deadline_s
-            )
+            slot = await side.acquire_slot(req, attempt.deadline_s)
             if isinstance(slot, Err):
                 return attempt.refused(slot, RETRY_AFTER_MS)
             with slot.value:
@@ -98,11 +93,6 @@
     )
 
 
-def _weight(side: Sidecar, team: str) -> int:
-    entry = side.store.current.teams.get(team)
-    return entry.weight if entry else 1
-
-
 @asynccontextmanager
 async def _turn(side: Sidecar, suspect: bool) -> AsyncIterator[None]:
     """Wait until no other suspect runs, if this is one."""
--- a/src/mustardfront/programs/sidecar/_side.py
+++ b/src/mustardfront/programs/sidecar/_side.py
@@ -10,13 +10,15 @@
 import trio
 
 from mustardfront import events
+from mustardfront.codes import Code
 from mustardfront.coordination.config import ConfigStore
-from mustardfront.coordination.limits import AdaptiveLimit, FairQueue
+from mustardfront.coordination.limits import AdaptiveLimit, FairQueue, Slot
 from mustardfront.coordination.peers import PeerHub
 from mustardfront.coordination.quarantine import Quarantine
 from mustardfront.programs.sidecar._attempt import Attempt
 from mustardfront.programs.sidecar._upstream import UpstreamClient
-from mustardfront.protocol import Leaving, LoadReport
+from mustardfront.protocol import Leaving, LoadReport, Request
+from mustardfront.results import Err, Result
 from mustardfront.state import Limits
 
 # Weight of a new sample in the smoothed latency of the load report.
@@ -49,12 +51,13 @@
     suspect_turn: trio.Lock = field(default_factory=trio.Lock)
     drain_reasons: set[str] = field(default_factory=set)
     load_changed: trio.Event = field(default_factory=trio.Event)
+    _acquiring: int = 0
     # Says whether the upstream process that ran an attempt is gone; see ``Health``.
     confirm_loss: Callable[[Attempt], Awaitable[bool]] = _no_loss
 
     def __post_init__(self) -> None:
         self.quarantine = Quarantine(trio.current_time)
-        # The configured queue length changes, so the admission checks it.
+        # The configured queue length changes, so acquire_slot bounds the queue.
         self.queue = FairQueue(lambda: self.limit, sys.maxsize)
         self.set_limits(self.limits)
 
@@ -72,10 +75,17 @@
         """Return how many requests may run at a time."""
         return self._adaptive.limit
 
-    @property
-    def is_full(self) -> bool:
-        """Say whether a new request has to wait."""
-        return self.queue.queued > 0 or self.queue.in_flight >= self.limit
+    async def acquire_slot(self, req: Request, deadline_s: float) -> Result[Slot]:
+        """Wait for the request's turn; an Err says why it does not get one."""
+        if self.queue.in_flight + self._acquiring >= self.limit + self.limits.queue:
+            return Err(Code.QUEUE_FULL, f"{self._acquiring} requests wait already")
+        team = self.store.current.teams.get(req.team)
+        weight = team.weight if team else 1
+        self._acquiring += 1
+        try:
+            return await self.queue.acquire(req.team, weight, req.priority, deadline_s)
+        finally:
+            self._acquiring -= 1
 
     @property
     def draining(self) -> bool:
