--- a/src/mustardfront/coordination/routing/__init__.py
+++ b/src/mustardfront/coordination/routing/__init__.py
@@ -1,11 +1,16 @@
 """Which upstream takes a request, and what the entry knows about each upstream."""
 
-from mustardfront.coordination.routing._choose import Policy, choose
+from mustardfront.coordination.routing._baselines import BASELINES
+from mustardfront.coordination.routing._choose import choose
+from mustardfront.coordination.routing._hashing import rendezvous_score, upstream_hash
 from mustardfront.coordination.routing._knobs import RoutingKnobs
-from mustardfront.coordination.routing._table import UpstreamState, UpstreamTable
+from mustardfront.coordination.routing._policy import Policy, default_policy
+from mustardfront.coordination.routing._state import UpstreamState
+from mustardfront.coordination.routing._table import UpstreamTable
 from mustardfront.coordination.routing._types import Candidate, Decision, RouteRequest
 
 __all__ = [
+    "BASELINES",
     "Candidate",
     "Decision",
     "Policy",
@@ -14,4 +19,7 @@
     "UpstreamState",
     "UpstreamTable",
     "choose",
+    "default_policy",
+    "rendezvous_score",
+    "upstream_hash",
 ]
--- /dev/null
+++ b/src/mustardfront/coordination/routing/_baselines.py
@@ -0,0 +1,88 @@
+"""Simple policies, kept to measure the project's policy against."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable, Mapping, Sequence
+from types import MappingProxyType
+
+from mustardfront.coordination.routing._hashing import rendezvous_score
+from mustardfront.coordination.routing._policy import Choice, Policy
+from mustardfront.coordination.routing._state import UpstreamState
+from mustardfront.coordination.routing._table import UpstreamTable
+from mustardfront.coordination.routing._types import RouteRequest
+
+
+def random_policy() -> Policy:
+    """Choose any upstream."""
+
+    def pick(
+        table: UpstreamTable, capable: Sequence[UpstreamState], _req: RouteRequest
+    ) -> Choice:
+        return table.rng.choice(capable), "random", ()
+
+    return pick
+
+
+def round_robin() -> Policy:
+    """Choose one upstream after the other."""
+    turns = itertools.count()
+
+    def pick(
+        _table: UpstreamTable, capable: Sequence[UpstreamState], _req: RouteRequest
+    ) -> Choice:
+        return capable[next(turns) % len(capable)], "round-robin", ()
+
+    return pick
+
+
+def least_reported() -> Policy:
+    """Choose the upstream with the least load in its latest report."""
+
+    def pick(
+        table: UpstreamTable, capable: Sequence[UpstreamState], _req: RouteRequest
+    ) -> Choice:
+        least = min(state.report_load for state in capable)
+        ties = [state for state in capable if state.report_load == least]
+        return table.rng.choice(ties), "least-reported", ()
+
+    return pick
+
+
+def two_choices() -> Policy:
+    """Choose the one of two random upstreams with fewer own requests in flight."""
+
+    def pick(
+        table: UpstreamTable, capable: Sequence[UpstreamState], _req: RouteRequest
+    ) -> Choice:
+        picked = table.rng.sample(capable, min(2, len(capable)))
+        return min(picked, key=lambda state: state.in_flight), "two-choices", ()
+
+    return pick
+
+
+def prefix_affinity() -> Policy:
+    """Choose by the prefix alone, whatever the load."""
+
+    def pick(
+        table: UpstreamTable, capable: Sequence[UpstreamState], req: RouteRequest
+    ) -> Choice:
+        if not req.prefix:
+            return table.rng.choice(capable), "random", ()
+        best = max(
+            capable, key=lambda state: rendezvous_score(req.prefix, state.name_hash)
+        )
+        return best, "prefix", ()
+
+    return pick
+
+
+BASELINES: Mapping[str, Callable[[], Policy]] = MappingProxyType(
+    {
+        "random": random_policy,
+        "round_robin": round_robin,
+        "least_reported": least_reported,
+        "two_choices": two_choices,
+        "prefix_affinity": prefix_affinity,
+    }
+)
--- a/src/mustardfront/coordination/routing/_choose.py
+++ b/src/mustardfront/coordination/routing/_choose.py
@@ -2,31 +2,22 @@
 
 from __future__ import annotations
 
-import random
-from collections.abc import Callable, Sequence
-from typing import TypeAlias
-
 from mustardfront import events
 from mustardfront.codes import Code
-from mustardfront.coordination.routing._table import UpstreamState, UpstreamTable
-from mustardfront.coordination.routing._types import Candidate, Decision, RouteRequest
+from mustardfront.coordination.routing._policy import Policy, default_policy
+from mustardfront.coordination.routing._state import UpstreamState
+from mustardfront.coordination.routing._table import UpstreamTable
+from mustardfront.coordination.routing._types import Decision, RouteRequest
 from mustardfront.results import Err, Ok, Result
 from mustardfront.state import Config
 
-# Chooses among capable upstreams and names its reason.
-Policy: TypeAlias = Callable[
-    [UpstreamTable, Sequence[UpstreamState], RouteRequest],
-    tuple[UpstreamState, str, tuple[Candidate, ...]],
-]
-_rng = random.Random()
-
 
 def choose(
     table: UpstreamTable,
     cfg: Config,
     req: RouteRequest,
     exclude: frozenset[str] = frozenset(),
-    policy: Policy | None = None,
+    policy: Policy = default_policy,
 ) -> Result[Decision]:
     """Return the upstream for a request; Err(NO_CAPABLE_UPSTREAM) when none can.
 
@@ -35,10 +26,13 @@
     service = cfg.services.get(req.service)
     if service is None:
         return Err(Code.UNKNOWN_SERVICE, f"no service {req.service}")
+    if req.model not in ("", service.model) or req.version not in ("", service.version):
+        text = f"{req.service} is {service.model} {service.version}"
+        return Err(Code.NO_CAPABLE_UPSTREAM, text)
     capable = capable_upstreams(table, req, exclude)
     if not capable:
         return Err(Code.NO_CAPABLE_UPSTREAM, f"no upstream of {req.service} can run it")
-    state, reason, compared = (policy or two_choices)(table, capable, req)
+    state, reason, compared = policy(table, capable, req)
     events.log(
         events.Event.ROUTE_CHOSEN,
         request_id=req.request_id,
@@ -47,7 +41,10 @@
         upstream=state.name,
         reason=reason,
         capable=len(capable),
-        candidates=[[item.upstream, round(item.score, 3)] for item in compared],
+        candidates=[
+            [item.upstream, round(item.load, 1), round(item.score, 3)]
+            for item in compared[: table.knobs.logged_candidates_max]
+        ],
         config_version=cfg.version,
     )
     return Ok(Decision(state.name, state.address, reason, compared, cfg.version))
@@ -61,24 +58,8 @@
     return [
         state
         for state in table.fronts(req.service)
-        if state.report_ready
-        and not state.draining
-        and not state.leaving
-        and state.down_until <= now
-        and state.ejected_until <= now
+        if state.is_available(now)
         and (not req.adapter or req.adapter in state.adapters)
         and state.role in ("both", req.role)
         and state.name not in exclude
     ]
-
-
-def two_choices(
-    table: UpstreamTable, capable: Sequence[UpstreamState], req: RouteRequest
-) -> tuple[UpstreamState, str, tuple[Candidate, ...]]:
-    """Choose the less loaded of two random upstreams."""
-    picked = _rng.sample(capable, min(2, len(capable)))
-    best = min(picked, key=lambda state: state.in_flight)
-    compared = tuple(
-        Candidate(state.name, state.in_flight, state.in_flight) for state in picked
-    )
-    return best, "two-choices", compared
--- a/src/mustardfront/coordination/routing/_knobs.py
+++ b/src/mustardfront/coordination/routing/_knobs.py
@@ -9,12 +9,22 @@
 class RoutingKnobs:
     """Defaults of the routing policy, with the unit in each name."""
 
-    # Sidecars report every 2 s at least, so two missed reports make one stale.
+    # Sidecars report every 2 s at least, so after 5 s two reports are missing.
     report_stale_s: float = 5.0
+    # Reports are taken as this old: own requests started since are added to them.
+    report_lag_s: float = 1.0
     latency_half_life_s: float = 5.0
+    # An upstream that is slower than the median by less is not treated as slow, as
+    # request lengths and cache hits alone make latencies differ.
+    slow_ratio: float = 2.0
+    slow_ratio_max: float = 10.0
     choices_count: int = 2
     prefix_load_bound_ratio: float = 1.25
+    # Upstreams tried in a prefix's order before the request goes anywhere.
+    prefix_tries_count: int = 4
     spill_load_ratio: float = 1.25
+    # A place or region that is less utilised never sends requests elsewhere.
+    spill_utilisation_min: float = 0.5
     slow_start_s: float = 10.0
     slow_start_weight_min: float = 0.1
     eject_failures_count: int = 5
--- a/src/mustardfront/coordination/routing/_table.py
+++ b/src/mustardfront/coordination/routing/_table.py
@@ -1,73 +1,35 @@
-"""What this process knows about each upstream that takes requests."""
+"""What this process knows about all upstreams that take requests."""
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+import random
+import statistics
+from collections.abc import Callable
 
 from mustardfront import events
+from mustardfront.coordination.routing._health import NEVER
 from mustardfront.coordination.routing._knobs import RoutingKnobs
+from mustardfront.coordination.routing._state import UpstreamState
 from mustardfront.protocol import LoadReport
 from mustardfront.state import Config
 
 # States in a load report of an upstream that takes new requests.
 READY_STATES = frozenset({"", "ready", "live", "up", "active"})
+# Speeds of a service's upstreams are compared this often.
+_SPEED_INTERVAL_S = 0.25
+# Differences of less than this many seconds do not make an upstream slow.
+_SPEED_FLOOR_S = 0.01
 
 
-class UpstreamState:
-    """Counts, reports, latency and health of one upstream."""
-
-    __slots__ = (
-        "adapters",
-        "address",
-        "down_until",
-        "draining",
-        "ejected_until",
-        "ejections",
-        "failures",
-        "in_flight",
-        "latency_s",
-        "leaving",
-        "limit",
-        "lost",
-        "name",
-        "outcomes",
-        "place",
-        "region",
-        "report_at",
-        "report_load",
-        "report_own",
-        "report_ready",
-        "returned_at",
-        "role",
-        "service",
-        "ttft_s",
-    )
-
-    def __init__(self, name: str) -> None:
-        self.name = name
-        self.service = ""
-        self.address = ""
-        self.place = ""
-        self.region = ""
-        self.role = "both"
-        self.adapters: frozenset[str] = frozenset()
-        self.draining = False
-        self.in_flight = 0
-        self.leaving = False
-        self.lost = 0
-        self.down_until = float("-inf")
-        self.report_at = float("-inf")
-        self.report_load = 0
-        self.report_own = 0
-        self.report_ready = True
-        self.limit = 1
-        self.latency_s = 0.0
-        self.ttft_s = 0.0
-        self.failures = 0
-        self.outcomes: list[tuple[float, bool]] = []
-        self.ejected_until = float("-inf")
-        self.ejections = 0
-        self.returned_at = float("-inf")
+class _Service:
+    """A service's upstreams in name order, and what is computed over all of them."""
+
+    __slots__ = ("own_share", "speed_at", "states")
+
+    def __init__(self, states: tuple[UpstreamState, ...], own_share: float) -> None:
+        self.states = states
+        self.own_share = own_share
+        self.speed_at = NEVER
 
 
 class UpstreamTable:
@@ -78,43 +40,60 @@
     """
 
     def __init__(
-        self, clock: Callable[[], float], knobs: RoutingKnobs | None = None
+        self,
+        clock: Callable[[], float],
+        knobs: RoutingKnobs | None = None,
+        rng: random.Random | None = None,
     ) -> None:
         self.clock = clock
         self.knobs = knobs or RoutingKnobs()
+        self.rng = rng or random.Random()
         self._states: dict[str, UpstreamState] = {}
-        self._fronts: dict[str, tuple[UpstreamState, ...]] = {}
+        self._services: dict[str, _Service] = {}
+        self._regions: dict[str, str] = {}
 
     def update_config(self, cfg: Config) -> None:
         """Take over the upstreams of a configuration; keep what is known of them."""
         states: dict[str, UpstreamState] = {}
-        fronts: dict[str, tuple[UpstreamState, ...]] = {}
+        services: dict[str, _Service] = {}
         ranks_of = {group.ranks[0]: group.ranks for group in cfg.groups.values()}
         for service in cfg.services:
             names = cfg.fronts(service)
             for name in names:
                 state = self._states.get(name) or UpstreamState(name)
-                entry = cfg.upstreams[name]
-                place = cfg.place_of(name)
-                state.service = service
-                state.address = entry.address
-                state.place = place
-                state.region = cfg.places[place].region if place in cfg.places else ""
-                state.role = entry.role
-                state.adapters = frozenset(entry.adapters)
-                if state.report_at == float("-inf"):
-                    state.limit = max(1, cfg.limits_of(service).max_in_flight)
+                self._configure(state, cfg, service)
                 # A group works in lock-step: when one rank drains, it all drains.
                 ranks = ranks_of.get(name, (name,))
                 state.draining = any(cfg.is_draining(rank) for rank in ranks)
                 states[name] = state
-            fronts[service] = tuple(states[name] for name in names)
+            old = self._services.get(service)
+            services[service] = _Service(
+                tuple(states[name] for name in names), old.own_share if old else 1.0
+            )
         self._states = states
-        self._fronts = fronts
+        self._services = services
+        self._regions = {name: place.region for name, place in cfg.places.items()}
+
+    def _configure(self, state: UpstreamState, cfg: Config, service: str) -> None:
+        entry = cfg.upstreams[state.name]
+        place = cfg.place_of(state.name)
+        state.service = service
+        state.address = entry.address
+        state.place = place
+        state.region = cfg.places[place].region if place in cfg.places else ""
+        state.role = entry.role
+        state.adapters = frozenset(entry.adapters)
+        if state.report_at == NEVER:
+            state.limit = max(1, cfg.limits_of(service).max_in_flight)
 
     def fronts(self, service: str) -> tuple[UpstreamState, ...]:
         """Return the states of the upstreams that take a service's requests."""
-        return self._fronts.get(service, ())
+        known = self._services.get(service)
+        return known.states if known else ()
+
+    def region_of(self, place: str) -> str:
+        """Return the region of a place, or ``""`` when not known."""
+        return self._regions.get(place, "")
 
     def state(self, upstream: str) -> UpstreamState | None:
         """Return what is known of an upstream."""
@@ -125,23 +104,25 @@
         state = self._states.get(report.upstream)
         if state is None:
             return
+        now = self.clock()
         ready = report.state in READY_STATES
         if ready and not state.report_ready:
+            state.leaving = False
             self._returned(state)
         state.report_ready = ready
-        state.report_at = self.clock()
+        state.report_at = now
         state.report_load = report.in_flight + report.queued
-        state.report_own = state.in_flight
+        state.report_own = state.own_at(now - self.knobs.report_lag_s)
+        state.report_latency_s = report.latency_ms / 1_000
         if report.limit > 0:
             state.limit = report.limit
 
     def leaving(self, upstream: str) -> None:
-        """Stop choosing an upstream until it reports ready again or reconnects."""
+        """Stop choosing an upstream until it reconnects or reports a new start."""
         state = self._states.get(upstream)
         if state is None or state.leaving:
             return
         state.leaving = True
-        state.report_ready = False
         events.log(events.Event.UPSTREAM_LEAVING, upstream=upstream)
 
     def connected(self, upstream: str, up: bool) -> None:
@@ -157,42 +138,104 @@
             if state.lost or state.leaving:
                 self._returned(state)
             state.lost = 0
-            state.down_until = float("-inf")
+            state.down_until = NEVER
+            state.leaving = False
             state.report_ready = True
             return
         knobs = self.knobs
-        delay = min(knobs.reconnect_base_s * 2**state.lost, knobs.reconnect_max_s)
+        delay = min(knobs.reconnect_base_s * 2.0**state.lost, knobs.reconnect_max_s)
         state.lost += 1
         state.down_until = self.clock() + delay
-        state.report_at = float("-inf")
+        state.report_at = NEVER
 
     def started(self, upstream: str) -> None:
         """Count a request that was sent to the upstream."""
         state = self._states.get(upstream)
         if state is not None:
-            state.in_flight += 1
+            state.count(self.clock(), 1, self.knobs.report_lag_s)
 
     def first_token(self, upstream: str, seconds: float) -> None:
         """Note the time to first token of a request."""
         state = self._states.get(upstream)
         if state is not None:
-            state.ttft_s += (seconds - state.ttft_s) * (0.1 if state.ttft_s else 1.0)
+            half_life_s = self.knobs.latency_half_life_s
+            state.ttft.add(self.clock(), seconds, half_life_s)
 
     def finished(self, upstream: str, seconds: float, ok: bool) -> None:
-        """Uncount a request; ``ok`` is false when the upstream failed it."""
+        """Uncount a request; ``ok`` is false when the upstream failed it.
+
+        A refusal for lack of capacity is no failure; it is reported with 0 seconds,
+        which tell nothing about latency or health.
+        """
         state = self._states.get(upstream)
         if state is None:
             return
-        state.in_flight = max(0, state.in_flight - 1)
+        now = self.clock()
+        state.count(now, -1, self.knobs.report_lag_s)
+        if ok and not seconds:
+            return
         if ok:
-            change = 0.1 if state.latency_s else 1.0
-            state.latency_s += (seconds - state.latency_s) * change
-
-    def names(self) -> Iterable[str]:
-        """Return the names of all upstreams that take requests."""
-        return self._states.keys()
+            state.latency.add(now, seconds, self.knobs.latency_half_life_s)
+        failing = state.health.record(now, ok, self.knobs)
+        if ok and state.health.probing:
+            self._returned(state)
+        elif failing and now >= state.health.ejected_until:
+            self._eject(state, now)
+
+    def own_share(self, service: str) -> float:
+        """Return this process's share of the load, from the fresh reports."""
+        known = self._services.get(service)
+        if known is None:
+            return 1.0
+        now = self.clock()
+        fresh = [
+            state
+            for state in known.states
+            if now - state.report_at <= self.knobs.report_stale_s
+        ]
+        total = sum(state.report_load for state in fresh)
+        own = sum(state.report_own for state in fresh)
+        if own and total:
+            known.own_share = min(1.0, own / total)
+        return known.own_share
+
+    def compare_speeds(self, service: str) -> None:
+        """Set how much slower than the median each upstream of a service is."""
+        known = self._services.get(service)
+        now = self.clock()
+        if known is None or now < known.speed_at + _SPEED_INTERVAL_S:
+            return
+        known.speed_at = now
+        oldest = now - 2 * self.knobs.latency_half_life_s
+        stale = now - self.knobs.report_stale_s
+        slow = dict.fromkeys(known.states, 1.0)
+        for values in (
+            {s: s.ttft.value for s in known.states if s.ttft.at >= oldest},
+            {s: s.report_latency_s for s in known.states if s.report_at >= stale},
+        ):
+            if len(values) < 3:
+                continue
+            median = statistics.median(values.values()) + _SPEED_FLOOR_S
+            for state, value in values.items():
+                slow[state] = max(slow[state], (value + _SPEED_FLOOR_S) / median)
+        for state, ratio in slow.items():
+            is_slow = ratio >= self.knobs.slow_ratio
+            state.slow = min(ratio, self.knobs.slow_ratio_max) if is_slow else 1.0
+
+    def _eject(self, state: UpstreamState, now: float) -> None:
+        peers = self.fronts(state.service)
+        others = sum(peer.health.ejected for peer in peers if peer is not state)
+        # The small addend keeps a third of 3 from being rounded down to 0.
+        if others + 1 > int(len(peers) * self.knobs.eject_groups_max_ratio + 1e-9):
+            return
+        seconds = state.health.eject(now, self.knobs)
+        events.log(
+            events.Event.UPSTREAM_EJECTED,
+            upstream=state.name,
+            seconds=seconds,
+            ejections=state.health.ejections,
+        )
 
     def _returned(self, state: UpstreamState) -> None:
-        state.leaving = False
-        state.returned_at = self.clock()
+        state.health.returned(self.clock())
         events.log(events.Event.UPSTREAM_RETURNED, upstream=state.name)
