--- /dev/null
+++ b/src/mustardfront/programs/entry/_answers.py
@@ -0,0 +1,160 @@
+"""Answers to callers: status, headers and the event stream's frames."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+from typing import Any, Final
+
+import msgspec
+
+from mustardfront.codes import Code, Outcome
+from mustardfront.protocol import Headers
+
+AsgiSend = Callable[[Any], Awaitable[None]]
+
+_STATUS_BY_CODE: Final[Mapping[Code, int]] = {
+    Code.MALFORMED_REQUEST: 400,
+    Code.UNKNOWN_TEAM: 401,
+    Code.WRONG_KEY: 401,
+    Code.UNKNOWN_SERVICE: 404,
+    Code.NO_ROUTE: 404,
+    Code.TEAM_NOT_ALLOWED: 403,
+    Code.BODY_TOO_LARGE: 413,
+    Code.KEY_REQUIRED: 400,
+    Code.KEY_MALFORMED: 400,
+    Code.KEY_EXPIRED: 409,
+    Code.KEY_CONFLICT: 422,
+    Code.DUPLICATE_REQUEST_ID: 409,
+    Code.TEAM_LIMIT: 429,
+    Code.REQUEST_HELD: 422,
+    Code.DEADLINE_PASSED: 504,
+    Code.UPSTREAM_TIMEOUT: 504,
+    Code.UPSTREAM_CRASHED: 502,
+    Code.STREAM_CUT: 502,
+    Code.PEER_LOST: 502,
+    Code.UPSTREAM_BAD_ANSWER: 502,
+    Code.CLAIM_UNRESOLVED: 409,
+    Code.INTERNAL_ERROR: 500,
+}
+_STATUS_OTHERWISE: Final = 503
+_CLIENT_CLOSED_REQUEST: Final = 499
+
+
+@dataclass(frozen=True, slots=True)
+class Finish:
+    """How a request ended for its caller."""
+
+    code: Code
+    outcome: Outcome
+    text: str = ""
+    upstream: str = ""
+    attempts: int = 0
+    retry_after_ms: int = 0
+
+
+def status_of(code: Code) -> int:
+    """Return the HTTP status for a code that is not ``ANSWERED``."""
+    if code is Code.CANCELLED:
+        return _CLIENT_CLOSED_REQUEST
+    return _STATUS_BY_CODE.get(code, _STATUS_OTHERWISE)
+
+
+class Answer:
+    """The answer to one caller; it is begun at most once and ended exactly once."""
+
+    def __init__(
+        self, send: AsgiSend, request_id: str, closing: Callable[[], bool]
+    ) -> None:
+        self._send = send
+        self._request_id = request_id
+        self._closing = closing
+        self.begun = False
+
+    async def whole(
+        self, finish: Finish, status: int, headers: Headers, body: bytes
+    ) -> None:
+        """Send a complete answer that came from an upstream."""
+        await self._begin(status, finish, headers, len(body))
+        await self._send({"type": "http.response.body", "body": body})
+
+    async def refuse(self, finish: Finish) -> None:
+        """Send an error answer, or an error event when a stream has begun."""
+        if self.begun:
+            await self._event("error", finish)
+            return
+        body = msgspec.json.encode(
+            {
+                "code": int(finish.code),
+                "name": finish.code.name,
+                "outcome": finish.outcome.value,
+                "text": finish.text,
+                "request_id": self._request_id,
+            }
+        )
+        headers: Headers = (("content-type", "application/json"),)
+        if finish.retry_after_ms:
+            seconds = -(-finish.retry_after_ms // 1000)
+            headers += (("retry-after", str(seconds)),)
+        await self._begin(status_of(finish.code), finish, headers, len(body))
+        await self._send({"type": "http.response.body", "body": body})
+
+    async def begin_stream(self, finish: Finish) -> None:
+        """Send the head of an event stream; ``finish`` names the upstream."""
+        headers: Headers = (
+            ("content-type", "text/event-stream"),
+            ("cache-control", "no-store"),
+        )
+        await self._begin(200, finish, headers, None)
+
+    async def token(self, payload: bytes) -> None:
+        """Send one token's event; return when the connection took it."""
+        await self._body(b"data: " + payload + b"\n\n", more=True)
+
+    async def end_stream(self, finish: Finish, tokens: int) -> None:
+        """Send the last event of a stream that is whole."""
+        await self._event("done", finish, tokens=tokens)
+
+    async def _event(self, kind: str, finish: Finish, **more: int) -> None:
+        data = msgspec.json.encode(
+            {
+                "code": int(finish.code),
+                "outcome": finish.outcome.value,
+                "text": finish.text,
+                "upstream": finish.upstream,
+                "attempts": finish.attempts,
+                **more,
+            }
+        )
+        frame = b"event: " + kind.encode() + b"\ndata: " + data + b"\n\n"
+        await self._body(frame, more=False)
+
+    async def _body(self, data: bytes, *, more: bool) -> None:
+        await self._send(
+            {"type": "http.response.body", "body": data, "more_body": more}
+        )
+
+    async def _begin(
+        self, status: int, finish: Finish, headers: Headers, length: int | None
+    ) -> None:
+        self.begun = True
+        own = [
+            ("x-request-id", self._request_id),
+            ("x-result-code", str(int(finish.code))),
+            ("x-outcome", finish.outcome.value),
+        ]
+        if finish.upstream:
+            own.append(("x-upstream", finish.upstream))
+        if length is not None:
+            own.append(("content-length", str(length)))
+        if self._closing():
+            own.append(("connection", "close"))
+        skipped = {"content-length", "transfer-encoding", "connection", "date"}
+        passed = [pair for pair in headers if pair[0].lower() not in skipped]
+        encoded = [
+            (name.lower().encode("latin-1"), value.encode("latin-1"))
+            for name, value in (*passed, *own)
+        ]
+        await self._send(
+            {"type": "http.response.start", "status": status, "headers": encoded}
+        )
--- /dev/null
+++ b/src/mustardfront/programs/entry/_app.py
@@ -0,0 +1,220 @@
+"""The callers' HTTP front as an ASGI application."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+import msgspec
+import trio
+
+from mustardfront import events
+from mustardfront.codes import Code, Outcome
+from mustardfront.constants import BODY_MAX_BYTES
+from mustardfront.coordination.limits import TeamLimits
+from mustardfront.metrics import Metrics
+from mustardfront.programs.entry._answers import Answer, AsgiSend, Finish
+from mustardfront.programs.entry._callers import (
+    CallerRequest,
+    check_request,
+    request_id_of,
+)
+from mustardfront.programs.entry._explain import Decisions
+from mustardfront.programs.entry._forward import Forwarder, forward
+from mustardfront.results import Err, Ok, Result
+
+AsgiReceive = Callable[[], Awaitable[Any]]
+AsgiApp = Callable[[dict[str, Any], AsgiReceive, AsgiSend], Awaitable[None]]
+
+_OWN_PATHS: Final = ("/healthz", "/readyz", "/metrics", "/explain/")
+
+
+@dataclass(frozen=True, slots=True)
+class Front:
+    """What the HTTP front needs of the entry process."""
+
+    forwarder: Forwarder
+    teams: TeamLimits
+    metrics: Metrics
+    decisions: Decisions
+    is_ready: Callable[[], bool]
+    is_draining: Callable[[], bool]
+    open_ids: set[tuple[str, str]] = field(default_factory=set)
+
+
+def make_app(front: Front) -> AsgiApp:
+    """Return the ASGI application."""
+
+    async def app(scope: dict[str, Any], receive: AsgiReceive, send: AsgiSend) -> None:
+        if scope["type"] == "lifespan":
+            await _lifespan(receive, send)
+        elif scope["type"] == "http":
+            if scope["path"].startswith(_OWN_PATHS):
+                await _own(front, scope["path"], send)
+            else:
+                await _serve(front, scope, receive, send)
+
+    return app
+
+
+async def _lifespan(receive: AsgiReceive, send: AsgiSend) -> None:
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+async def _own(front: Front, path: str, send: AsgiSend) -> None:
+    if path == "/healthz":
+        await _plain(send, 200, b"ok\n")
+    elif path == "/readyz":
+        ready = front.is_ready() and not front.is_draining()
+        await _plain(send, 200 if ready else 503, b"ready\n" if ready else b"no\n")
+    elif path == "/metrics":
+        await _plain(send, 200, front.metrics.render().encode())
+    else:
+        found = front.decisions.of(path.removeprefix("/explain/"))
+        body = msgspec.json.encode(found, enc_hook=str)
+        await _plain(send, 200 if found else 404, body, b"application/json")
+
+
+async def _plain(
+    send: AsgiSend, status: int, body: bytes, kind: bytes = b"text/plain"
+) -> None:
+    headers = [
+        (b"content-type", kind),
+        (b"content-length", str(len(body)).encode()),
+    ]
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
+
+
+async def _serve(
+    front: Front, scope: dict[str, Any], receive: AsgiReceive, send: AsgiSend
+) -> None:
+    began_s = trio.current_time()
+    headers = {
+        name.decode("latin-1").lower(): value.decode("latin-1")
+        for name, value in scope["headers"]
+    }
+    request_id = request_id_of(headers)
+    answer = Answer(send, request_id[:128], front.is_draining)
+    body = await _body(receive)
+    req: Result[CallerRequest]
+    if isinstance(body, Err):
+        req = body
+    elif not front.is_ready():
+        req = Err(Code.NOT_READY, "this entry has no configuration yet")
+    else:
+        target = scope["path"]
+        if scope.get("query_string"):
+            target += "?" + scope["query_string"].decode("latin-1")
+        req = check_request(
+            front.forwarder.config(),
+            scope["method"],
+            target,
+            headers,
+            body.value,
+            request_id,
+        )
+    if isinstance(req, Err):
+        finish = Finish(req.code, Outcome.NOT_RUN, req.text)
+        await answer.refuse(finish)
+        _log_finish(front, request_id, None, finish, began_s)
+        return
+    finish = await _admitted(front, req.value, answer, receive)
+    _log_finish(front, request_id, req.value, finish, began_s)
+
+
+async def _admitted(
+    front: Front, req: CallerRequest, answer: Answer, receive: AsgiReceive
+) -> Finish:
+    """Forward a checked request within its team's limit and under a unique ID."""
+    team = front.forwarder.config().teams[req.team]
+    open_id = (req.team, req.request_id)
+    if open_id in front.open_ids:
+        text = "a request with this X-Request-Id is in flight"
+        return await _refuse(answer, Code.DUPLICATE_REQUEST_ID, text)
+    with front.teams.hold(req.team, team.max_in_flight) as held:
+        if isinstance(held, Err):
+            return await _refuse(answer, held.code, held.text)
+        front.open_ids.add(open_id)
+        try:
+            return await _while_connected(front, req, answer, receive)
+        finally:
+            front.open_ids.discard(open_id)
+
+
+async def _refuse(answer: Answer, code: Code, text: str) -> Finish:
+    finish = Finish(code, Outcome.NOT_RUN, text)
+    await answer.refuse(finish)
+    return finish
+
+
+async def _while_connected(
+    front: Front, req: CallerRequest, answer: Answer, receive: AsgiReceive
+) -> Finish:
+    """Forward a request; cancel it when its caller disconnects first."""
+    finish = Finish(Code.CANCELLED, Outcome.UNKNOWN, "the caller disconnected")
+
+    async def watch() -> None:
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        nursery.cancel_scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(watch)
+        finish = await forward(front.forwarder, req, answer)
+        nursery.cancel_scope.cancel()
+    return finish
+
+
+async def _body(receive: AsgiReceive) -> Result[bytes]:
+    parts = bytearray()
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return Err(Code.CANCELLED, "the caller disconnected")
+        parts += message.get("body", b"")
+        if len(parts) > BODY_MAX_BYTES:
+            return Err(Code.BODY_TOO_LARGE, f"body over {BODY_MAX_BYTES} bytes")
+        if not message.get("more_body", False):
+            return Ok(bytes(parts))
+
+
+def _log_finish(
+    front: Front,
+    request_id: str,
+    req: CallerRequest | None,
+    finish: Finish,
+    began_s: float,
+) -> None:
+    elapsed_s = trio.current_time() - began_s
+    service = req.service if req else ""
+    events.log(
+        events.Event.REQUEST_FINISHED if finish.attempts else _refused(finish),
+        request_id=request_id,
+        team=req.team if req else "",
+        service=service,
+        upstream=finish.upstream,
+        code=int(finish.code),
+        outcome=finish.outcome.value,
+        attempts=finish.attempts,
+        text=finish.text,
+        elapsed_ms=round(elapsed_s * 1000, 3),
+    )
+    front.metrics.count(
+        "mustardfront_requests_total", service=service, code=str(int(finish.code))
+    )
+    if finish.outcome is Outcome.ANSWERED:
+        front.metrics.observe(
+            "mustardfront_request_seconds", elapsed_s, service=service
+        )
+
+
+def _refused(finish: Finish) -> events.Event:
+    if finish.outcome is Outcome.NOT_RUN:
+        return events.Event.REQUEST_REFUSED
+    return events.Event.REQUEST_FINISHED
--- /dev/null
+++ b/src/mustardfront/programs/entry/_attempt.py
@@ -0,0 +1,177 @@
+"""One attempt at a request through one sidecar."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TypeAlias
+
+import msgspec
+import trio
+
+from mustardfront.codes import Code, Outcome
+from mustardfront.coordination.routing import UpstreamTable
+from mustardfront.programs.entry._answers import Answer, Finish
+from mustardfront.programs.entry._callers import CallerRequest
+from mustardfront.protocol import (
+    Call,
+    Calls,
+    Cancelled,
+    Chunk,
+    End,
+    Head,
+    Headers,
+    Refused,
+    Request,
+)
+from mustardfront.results import Err
+
+
+@dataclass(slots=True)
+class Progress:
+    """What the caller already has of its stream, over all attempts."""
+
+    payloads: list[bytes] = field(default_factory=list)
+
+    @property
+    def next_index(self) -> int:
+        """Return the index of the token that must come next."""
+        return len(self.payloads)
+
+    def text(self) -> str:
+        """Return the text so far, for the upstream that resumes the stream."""
+        return "".join(_token_text(payload) for payload in self.payloads)
+
+
+@dataclass(frozen=True, slots=True)
+class Whole:
+    """The attempt gave the whole answer; ``body`` is empty for a stream."""
+
+    code: Code
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """The attempt gave no whole answer; ``outcome`` is what is proved of it."""
+
+    code: Code
+    outcome: Outcome
+    text: str
+    retry_after_ms: int = 0
+
+
+AttemptResult: TypeAlias = Whole | Failed
+
+
+async def run_attempt(
+    calls: Calls,
+    table: UpstreamTable,
+    upstream: str,
+    req: CallerRequest,
+    message: Request,
+    answer: Answer,
+    progress: Progress,
+) -> AttemptResult:
+    """Send ``message``, pass its stream on to the caller, return how it ended."""
+    began_s = trio.current_time()
+    table.started(upstream)
+    ok = False
+    try:
+        with calls.open() as call:
+            sent = await calls.start(call, message)
+            if isinstance(sent, Err):
+                return Failed(Code.PEER_LOST, Outcome.UNKNOWN, sent.text)
+            result = await _follow(
+                call, table, upstream, req, answer, progress, began_s
+            )
+        # A refusal is no failure of the upstream, so it must not eject it.
+        ok = isinstance(result, Whole) or result.outcome is Outcome.NOT_RUN
+        return result
+    finally:
+        table.finished(upstream, trio.current_time() - began_s, ok)
+
+
+async def _follow(
+    call: Call,
+    table: UpstreamTable,
+    upstream: str,
+    req: CallerRequest,
+    answer: Answer,
+    progress: Progress,
+    began_s: float,
+) -> AttemptResult:
+    head = Head(call.stream, 200)
+    pieces: list[bytes] = []
+    first = True
+    while True:
+        reply = await call.next_reply()
+        if isinstance(reply, Err):
+            return Failed(reply.code, Outcome.UNKNOWN, reply.text)
+        if isinstance(reply, Refused):
+            return _refused(reply)
+        if isinstance(reply, Cancelled):
+            outcome = Outcome.UNKNOWN if reply.started else Outcome.NOT_RUN
+            return Failed(Code.CANCELLED, outcome, "cancelled by the sidecar")
+        if isinstance(reply, Head):
+            head = reply
+        if isinstance(reply, Chunk):
+            if first:
+                table.first_token(upstream, trio.current_time() - began_s)
+                first = False
+            if not _is_stream(req, head):
+                if reply.index != len(pieces):
+                    return _gap(reply, len(pieces))
+                pieces.append(reply.data)
+            elif reply.index > progress.next_index:
+                return _gap(reply, progress.next_index)
+            elif reply.index == progress.next_index:
+                await _pass_on(answer, upstream, reply, progress)
+            await call.acknowledge()
+        if isinstance(reply, End):
+            count = progress.next_index if _is_stream(req, head) else len(pieces)
+            return _ended(reply, head, count, b"".join(pieces))
+
+
+async def _pass_on(
+    answer: Answer, upstream: str, chunk: Chunk, progress: Progress
+) -> None:
+    if not answer.begun:
+        await answer.begin_stream(
+            Finish(Code.ANSWERED, Outcome.ANSWERED, upstream=upstream)
+        )
+    # Recorded before the send, so a cancelled send is never repeated.
+    progress.payloads.append(chunk.data)
+    await answer.token(chunk.data)
+
+
+def _is_stream(req: CallerRequest, head: Head) -> bool:
+    return req.streamed and head.status == 200
+
+
+def _refused(reply: Refused) -> Failed:
+    outcome = Outcome.NOT_RUN if reply.not_run else Outcome.UNKNOWN
+    return Failed(Code(reply.code), outcome, reply.text, reply.retry_after_ms)
+
+
+def _gap(chunk: Chunk, expected: int) -> Failed:
+    text = f"part {chunk.index} came instead of part {expected}"
+    return Failed(Code.STREAM_CUT, Outcome.UNKNOWN, text)
+
+
+def _ended(end: End, head: Head, count: int, body: bytes) -> AttemptResult:
+    code = Code(end.code)
+    if code not in (Code.ANSWERED, Code.ANSWERED_FROM_RECORD):
+        return Failed(code, Outcome(end.outcome), end.text)
+    if end.chunks != count:
+        text = f"the answer has {end.chunks} parts, {count} arrived"
+        return Failed(Code.STREAM_CUT, Outcome.UNKNOWN, text)
+    return Whole(code, head.status, head.headers, body)
+
+
+def _token_text(payload: bytes) -> str:
+    try:
+        return str(msgspec.json.decode(payload)["choices"][0]["text"])
+    except (msgspec.DecodeError, KeyError, IndexError, TypeError):
+        return ""
--- /dev/null
+++ b/src/mustardfront/programs/entry/_forward.py
@@ -0,0 +1,291 @@
+"""Forwarding of a request: routing, attempts, retries and resumed streams."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Final
+
+import trio
+
+from mustardfront import events
+from mustardfront.codes import Code, Outcome
+from mustardfront.constants import ATTEMPTS_MAX
+from mustardfront.coordination.idempotency import owner_order, partition_of
+from mustardfront.coordination.limits import RetryBudget
+from mustardfront.coordination.quarantine import Quarantine
+from mustardfront.coordination.routing import (
+    Decision,
+    RouteRequest,
+    UpstreamTable,
+    capable_upstreams,
+    choose,
+)
+from mustardfront.programs.entry._answers import Answer, Finish
+from mustardfront.programs.entry._attempt import (
+    AttemptResult,
+    Failed,
+    Progress,
+    Whole,
+    run_attempt,
+)
+from mustardfront.programs.entry._callers import CallerRequest
+from mustardfront.programs.entry._links import SidecarLinks
+from mustardfront.protocol import Request
+from mustardfront.results import Err, Ok, Result
+from mustardfront.state import Config
+
+# Refusals that say nothing about other upstreams and cost the refuser nothing.
+_FREE_RETRIES: Final = frozenset(
+    {
+        Code.DRAINING,
+        Code.NOT_OWNER,
+        Code.CONNECT_FAILED,
+        Code.UPSTREAM_DOWN,
+        Code.NOT_READY,
+    }
+)
+# Refusals of a loaded upstream; another may have room, but a herd must not form.
+_PAID_RETRIES: Final = frozenset(
+    {Code.UPSTREAM_LIMIT, Code.QUEUE_FULL, Code.DEADLINE_UNREACHABLE, Code.LEASE_LOST}
+)
+# Failures after which a request that may run twice is sent elsewhere.
+_FAILURES: Final = frozenset(
+    {
+        Code.UPSTREAM_CRASHED,
+        Code.PEER_LOST,
+        Code.STREAM_CUT,
+        Code.UPSTREAM_BAD_ANSWER,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Forwarder:
+    """What forwarding needs of the entry process."""
+
+    config: Callable[[], Config]
+    place: str
+    links: SidecarLinks
+    table: UpstreamTable
+    budget_of: Callable[[str], RetryBudget]
+    quarantine: Quarantine
+
+
+async def forward(fwd: Forwarder, req: CallerRequest, answer: Answer) -> Finish:
+    """Run a request until its caller has an answer or an error; return which."""
+    deadline_s = trio.current_time() + req.deadline_ms / 1000
+    progress = Progress()
+    with trio.move_on_at(deadline_s):
+        return await _attempts(fwd, req, answer, progress, deadline_s)
+    text = f"no whole answer within {req.deadline_ms} ms"
+    finish = Finish(Code.DEADLINE_PASSED, Outcome.UNKNOWN, text)
+    await answer.refuse(finish)
+    return finish
+
+
+async def _attempts(
+    fwd: Forwarder,
+    req: CallerRequest,
+    answer: Answer,
+    progress: Progress,
+    deadline_s: float,
+) -> Finish:
+    budget = fwd.budget_of(req.service)
+    budget.record_request()
+    excluded: frozenset[str] = frozenset()
+    preferred = ""
+    suspect = fwd.quarantine.crashes_of(req.fingerprint) > 0
+    # Once an attempt may have run, a later "not run" no longer holds for the request.
+    may_have_run = False
+    failure: Failed | None = None
+    upstream = ""
+    for attempt in range(1, ATTEMPTS_MAX + 1):
+        if fwd.quarantine.is_held(req.fingerprint):
+            events.log(events.Event.REQUEST_HELD, request_id=req.request_id)
+            text = "this request crashed two upstreams"
+            failure = Failed(Code.REQUEST_HELD, Outcome.NOT_RUN, text)
+            break
+        decision = _route(fwd, req, excluded, preferred)
+        if isinstance(decision, Err):
+            failure = failure or Failed(decision.code, Outcome.NOT_RUN, decision.text)
+            break
+        upstream = decision.value.upstream
+        message = _message(
+            fwd, req, attempt, progress, deadline_s, suspect, decision.value
+        )
+        result = await _one(fwd, req, decision.value, message, answer, progress)
+        if isinstance(result, Whole):
+            fwd.quarantine.cleared(req.fingerprint)
+            return await _finish(answer, req, result, progress, upstream, attempt)
+        failure = result
+        may_have_run = may_have_run or result.outcome is Outcome.UNKNOWN
+        if attempt == ATTEMPTS_MAX or not _may_retry(req, result, budget, suspect):
+            break
+        suspect = suspect or result.code is Code.UPSTREAM_CRASHED
+        preferred = result.text if result.code is Code.NOT_OWNER else ""
+        if result.code is not Code.NOT_OWNER:
+            excluded |= {upstream}
+        _log_retry(req, attempt, upstream, result, progress)
+    failure = failure or Failed(Code.INTERNAL_ERROR, Outcome.UNKNOWN, "no attempt")
+    finish = Finish(
+        code=failure.code,
+        outcome=Outcome.UNKNOWN if may_have_run else failure.outcome,
+        text=failure.text,
+        upstream=upstream,
+        attempts=attempt,
+        retry_after_ms=failure.retry_after_ms,
+    )
+    await answer.refuse(finish)
+    return finish
+
+
+async def _one(
+    fwd: Forwarder,
+    req: CallerRequest,
+    decision: Decision,
+    message: Request,
+    answer: Answer,
+    progress: Progress,
+) -> AttemptResult:
+    calls = await fwd.links.calls(decision.upstream, decision.address)
+    if isinstance(calls, Err):
+        return Failed(Code.CONNECT_FAILED, Outcome.NOT_RUN, calls.text)
+    return await run_attempt(
+        calls.value, fwd.table, decision.upstream, req, message, answer, progress
+    )
+
+
+async def _finish(
+    answer: Answer,
+    req: CallerRequest,
+    result: Whole,
+    progress: Progress,
+    upstream: str,
+    attempts: int,
+) -> Finish:
+    finish = Finish(result.code, Outcome.ANSWERED, upstream=upstream, attempts=attempts)
+    if not req.streamed or result.status != 200:
+        await answer.whole(finish, result.status, result.headers, result.body)
+        return finish
+    if not answer.begun:
+        await answer.begin_stream(finish)
+    await answer.end_stream(finish, progress.next_index)
+    return finish
+
+
+def _route(
+    fwd: Forwarder, req: CallerRequest, excluded: frozenset[str], preferred: str
+) -> Result[Decision]:
+    cfg = fwd.config()
+    wanted = RouteRequest(
+        request_id=req.request_id,
+        service=req.service,
+        team=req.team,
+        place=fwd.place,
+        prefix=req.prefix,
+        adapter=req.adapter,
+        priority=req.priority,
+    )
+    if req.idempotent:
+        return choose(fwd.table, cfg, wanted, excluded)
+    live = capable_upstreams(fwd.table, wanted, excluded)
+    return _route_to_owner(cfg, req, [state.name for state in live], preferred)
+
+
+def _route_to_owner(
+    cfg: Config, req: CallerRequest, live: list[str], preferred: str
+) -> Result[Decision]:
+    """Send a non-idempotent request to the likely owner of its key's partition."""
+    partition = partition_of(req.service, req.idempotency_key)
+    order = owner_order(req.service, partition, live)
+    if not order:
+        text = f"no live upstream of {req.service}"
+        return Err(Code.NO_CAPABLE_UPSTREAM, text)
+    chosen = preferred if preferred in live else order[0]
+    reason = "owner named by a refusal" if chosen == preferred else "partition order"
+    events.log(
+        events.Event.ROUTE_CHOSEN,
+        request_id=req.request_id,
+        service=req.service,
+        team=req.team,
+        upstream=chosen,
+        reason=reason,
+        candidates=order,
+        config_version=cfg.version,
+    )
+    address = cfg.upstreams[chosen].address
+    return Ok(Decision(chosen, address, reason, (), cfg.version))
+
+
+def _message(
+    fwd: Forwarder,
+    req: CallerRequest,
+    attempt: int,
+    progress: Progress,
+    deadline_s: float,
+    suspect: bool,
+    decision: Decision,
+) -> Request:
+    message = Request(
+        stream=0,
+        request_id=req.request_id,
+        attempt=attempt,
+        team=req.team,
+        service=req.service,
+        method=req.method,
+        path=req.path,
+        headers=req.headers,
+        body=req.body,
+        deadline_ms=max(1, round((deadline_s - trio.current_time()) * 1000)),
+        priority=req.priority,
+        idempotency_key=req.idempotency_key,
+        idempotent=req.idempotent,
+        fingerprint=req.fingerprint,
+        streamed=req.streamed,
+        suspect=suspect,
+        config_version=decision.config_version,
+    )
+    if not progress.next_index:
+        return message
+    return replace(
+        message, resume_from=progress.next_index, resume_text=progress.text()
+    )
+
+
+def _may_retry(
+    req: CallerRequest, result: Failed, budget: RetryBudget, suspect: bool
+) -> bool:
+    if result.outcome is Outcome.NOT_RUN:
+        if result.code in _FREE_RETRIES:
+            return True
+        return result.code in _PAID_RETRIES and budget.try_spend()
+    # The record of the key makes a resend safe for a non-idempotent request.
+    if not req.idempotent and not req.idempotency_key:
+        return False
+    if result.code is Code.UPSTREAM_CRASHED and (suspect or not req.idempotent):
+        return False
+    return result.code in _FAILURES and budget.try_spend()
+
+
+def _log_retry(
+    req: CallerRequest,
+    attempt: int,
+    upstream: str,
+    result: Failed,
+    progress: Progress,
+) -> None:
+    events.log(
+        events.Event.REQUEST_RETRIED,
+        request_id=req.request_id,
+        attempt=attempt,
+        upstream=upstream,
+        code=int(result.code),
+        text=result.text,
+    )
+    if progress.next_index:
+        events.log(
+            events.Event.STREAM_RESUMED,
+            request_id=req.request_id,
+            next_index=progress.next_index,
+        )
--- /dev/null
+++ b/src/mustardfront/programs/entry/_links.py
@@ -0,0 +1,219 @@
+"""Connections of an entry to the sidecars it forwards to."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping
+
+import trio
+
+from mustardfront import events
+from mustardfront.codes import Code
+from mustardfront.constants import (
+    LINK_IDLE_S,
+    LINK_RETRY_MAX_S,
+    LINK_RETRY_MIN_S,
+    PEER_SILENCE_S,
+    PING_INTERVAL_S,
+)
+from mustardfront.coordination.peers import PeerHub
+from mustardfront.coordination.routing import UpstreamTable
+from mustardfront.protocol import (
+    Calls,
+    Identity,
+    PeerConnection,
+    Ping,
+    Pong,
+    connect_peer,
+)
+from mustardfront.results import Err, Ok, Result
+from mustardfront.settings import check_address
+
+
+class SidecarLink:
+    """The connection to one upstream's sidecar, opened on first use."""
+
+    def __init__(self, upstream: str, address: str) -> None:
+        self.upstream = upstream
+        self.address = address
+        self.calls: Calls | None = None
+        self.refused: Err | None = None
+        self.last_used_s = trio.current_time()
+        self.ended = False
+        self._settled = trio.Event()
+        self._scope = trio.CancelScope()
+
+    async def ready(self) -> Result[Calls]:
+        """Wait until the connection is up or its latest attempt failed."""
+        self.last_used_s = trio.current_time()
+        while self.calls is None and self.refused is None:
+            await self._settled.wait()
+        if self.calls is not None:
+            return Ok(self.calls)
+        return self.refused or Err(Code.CONNECT_FAILED, "the link has ended")
+
+    def close(self) -> None:
+        """End the link; requests in flight on it see a lost connection."""
+        self._scope.cancel()
+
+    async def run(
+        self,
+        identity: Identity,
+        key: bytes,
+        hub: PeerHub,
+        table: UpstreamTable,
+        rng: random.Random,
+    ) -> None:
+        """Connect, and reconnect with growing pauses, until closed or idle."""
+        pause_s = LINK_RETRY_MIN_S
+        with self._scope:
+            while not self.ended:
+                up = await self._connected(identity, key, hub, table)
+                pause_s = LINK_RETRY_MIN_S if up else min(pause_s * 2, LINK_RETRY_MAX_S)
+                if not self.ended:
+                    await trio.sleep(pause_s * rng.uniform(0.5, 1.0))
+        self.ended = True
+        self._settle(None, Err(Code.CONNECT_FAILED, "the link has ended"))
+
+    async def _connected(
+        self, identity: Identity, key: bytes, hub: PeerHub, table: UpstreamTable
+    ) -> bool:
+        address = check_address(self.address)
+        if isinstance(address, Err):
+            self._settle(None, address)
+            return False
+        async with connect_peer(address.value, identity, key) as conn:
+            if isinstance(conn, Err):
+                self._settle(None, conn)
+                table.connected(self.upstream, False)
+                return False
+            if conn.value.remote.upstream != self.upstream:
+                text = f"{self.address} is beside {conn.value.remote.upstream!r}"
+                self._settle(None, Err(Code.CONNECT_FAILED, text))
+                table.connected(self.upstream, False)
+                return False
+            calls = Calls(conn.value)
+            self._settle(calls, None)
+            table.connected(self.upstream, True)
+            try:
+                await self._serve(conn.value, calls, hub)
+            finally:
+                calls.close()
+                lost = Err(Code.CONNECT_FAILED, "reconnecting to the sidecar")
+                self._settle(None, lost)
+                table.connected(self.upstream, self.ended)
+        return True
+
+    async def _serve(self, conn: PeerConnection, calls: Calls, hub: PeerHub) -> None:
+        with hub.attached(conn):
+            await hub.greet(conn)
+            async with trio.open_nursery() as nursery:
+                heard = _Heard(trio.current_time())
+                nursery.start_soon(self._watch, conn, calls, heard, nursery)
+                await self._receive(conn, calls, hub, heard)
+                nursery.cancel_scope.cancel()
+
+    async def _receive(
+        self, conn: PeerConnection, calls: Calls, hub: PeerHub, heard: _Heard
+    ) -> None:
+        while True:
+            message = await conn.receive()
+            if isinstance(message, Err):
+                return
+            heard.at_s = trio.current_time()
+            if isinstance(message.value, Ping):
+                await conn.send(Pong(message.value.nonce, message.value.config_version))
+            if await hub.handle(conn, message.value):
+                continue
+            wrong = calls.dispatch(message.value)
+            if wrong is not None:
+                events.log(
+                    events.Event.PEER_BAD_MESSAGE,
+                    peer=conn.remote.instance,
+                    code=int(wrong.code),
+                    text=wrong.text,
+                )
+                return
+
+    async def _watch(
+        self,
+        conn: PeerConnection,
+        calls: Calls,
+        heard: _Heard,
+        nursery: trio.Nursery,
+    ) -> None:
+        """Ping the sidecar; end the connection when it is silent or not needed."""
+        nonce = 0
+        while True:
+            await trio.sleep(PING_INTERVAL_S)
+            now_s = trio.current_time()
+            if now_s - heard.at_s > PEER_SILENCE_S:
+                events.log(events.Event.PEER_SILENT, peer=conn.remote.instance)
+                nursery.cancel_scope.cancel()
+                return
+            if not len(calls) and now_s - self.last_used_s > LINK_IDLE_S:
+                self.ended = True
+                nursery.cancel_scope.cancel()
+                return
+            nonce += 1
+            conn.send_nowait(Ping(nonce, 0))
+
+    def _settle(self, calls: Calls | None, refused: Err | None) -> None:
+        self.calls, self.refused = calls, refused
+        settled, self._settled = self._settled, trio.Event()
+        settled.set()
+
+
+class _Heard:
+    """When the sidecar was last heard, in trio time."""
+
+    def __init__(self, at_s: float) -> None:
+        self.at_s = at_s
+
+
+class SidecarLinks:
+    """All links of an entry, one for each front upstream in use."""
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        identity: Identity,
+        key: bytes,
+        hub: PeerHub,
+        table: UpstreamTable,
+        rng: random.Random,
+    ) -> None:
+        self._nursery = nursery
+        self._identity = identity
+        self._key = key
+        self._hub = hub
+        self._table = table
+        self._rng = rng
+        self._links: dict[str, SidecarLink] = {}
+
+    async def calls(self, upstream: str, address: str) -> Result[Calls]:
+        """Return the calls on the connection to a sidecar at ``"IP:PORT"``.
+
+        Err(CONNECT_FAILED) means that nothing was sent.
+        """
+        return await self._link(upstream, address).ready()
+
+    def keep(self, addresses: Mapping[str, str]) -> None:
+        """Close the links to upstreams that are gone or moved."""
+        for upstream, link in list(self._links.items()):
+            if addresses.get(upstream) != link.address:
+                link.close()
+                del self._links[upstream]
+
+    def _link(self, upstream: str, address: str) -> SidecarLink:
+        link = self._links.get(upstream)
+        if link is not None and link.address == address and not link.ended:
+            return link
+        if link is not None:
+            link.close()
+        link = SidecarLink(upstream, address)
+        self._links[upstream] = link
+        self._nursery.start_soon(
+            link.run, self._identity, self._key, self._hub, self._table, self._rng
+        )
+        return link
--- /dev/null
+++ b/src/mustardfront_standins/fleet.py
@@ -0,0 +1,199 @@
+"""Starts and ends the processes of a small local fleet, for the demo and tests."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from collections.abc import Awaitable, Callable, Mapping
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import TracebackType
+from typing import Any, Final
+
+import trio
+
+_START_TIMEOUT_S: Final = 30.0
+_STOP_TIMEOUT_S: Final = 20.0
+_EVENTS_KEPT: Final = 50_000
+
+
+def free_port() -> int:
+    """Return a TCP port of the loopback address that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+@dataclass(slots=True)
+class FleetProcess:
+    """A running program: its ready line and the events that it logged."""
+
+    name: str
+    process: trio.Process
+    ready: dict[str, Any] = field(default_factory=dict)
+    events: list[dict[str, Any]] = field(default_factory=list)
+    other_lines: list[str] = field(default_factory=list)
+    changed: trio.Event = field(default_factory=trio.Event)
+
+    @property
+    def pid(self) -> int:
+        """Return the process ID."""
+        return self.process.pid
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal unless the process has ended."""
+        if self.process.poll() is None:
+            os.kill(self.pid, number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.send_signal(signal.SIGKILL)
+
+    async def wait_event(
+        self, name: str, where: Callable[[dict[str, Any]], bool] = lambda _: True
+    ) -> dict[str, Any]:
+        """Return the first logged event with this message type that fits."""
+        seen = 0
+        while True:
+            for event in self.events[seen:]:
+                if event.get("message_type") == name and where(event):
+                    return event
+            seen = len(self.events)
+            await self.changed.wait()
+
+    def tail(self) -> str:
+        """Return the last lines that were no events, such as a traceback."""
+        return "\n".join(self.other_lines[-30:])
+
+
+class Fleet:
+    """Processes that all end when the context is left."""
+
+    def __init__(self) -> None:
+        self.processes: dict[str, FleetProcess] = {}
+        self._stack = AsyncExitStack()
+        self._nursery: trio.Nursery
+        self._folder: Path
+
+    async def __aenter__(self) -> Fleet:
+        await self._stack.__aenter__()
+        folder = tempfile.TemporaryDirectory(prefix="mustardfront-")
+        self._folder = Path(self._stack.enter_context(folder))
+        self._nursery = await self._stack.enter_async_context(trio.open_nursery())
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        with trio.CancelScope(shield=True):
+            await self._end_all()
+        self._nursery.cancel_scope.cancel()
+        await self._stack.__aexit__(None, None, None)
+
+    @property
+    def folder(self) -> Path:
+        """Return a folder that is removed with the fleet."""
+        return self._folder
+
+    def write(self, name: str, text: str) -> Path:
+        """Write a file into the fleet's folder."""
+        path = self._folder / name
+        path.write_text(text)
+        return path
+
+    async def start(
+        self, name: str, module: str, *args: str, env: Mapping[str, str] | None = None
+    ) -> FleetProcess:
+        """Start ``python -m module``; it may not be ready yet."""
+        process = await trio.lowlevel.open_process(
+            [sys.executable, "-m", module, *args],
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            env={**os.environ, **(env or {})},
+        )
+        started = FleetProcess(name, process)
+        self.processes[name] = started
+        self._nursery.start_soon(self._read, started, process.stdout)
+        self._nursery.start_soon(self._read, started, process.stderr)
+        return started
+
+    async def start_standin(self, name: str, module: str, *args: str) -> FleetProcess:
+        """Start a stand-in and wait for its ready line."""
+        started = await self.start(name, f"mustardfront_standins.{module}", *args)
+        await self.until(started, lambda: bool(started.ready))
+        return started
+
+    async def until(self, proc: FleetProcess, done: Callable[[], bool]) -> None:
+        """Wait until ``done``; raise RuntimeError when the process ends or is late."""
+        with trio.move_on_after(_START_TIMEOUT_S):
+            while not done():
+                if proc.process.poll() is not None:
+                    await trio.sleep(0.1)
+                    code = proc.process.returncode
+                    raise RuntimeError(f"{proc.name} ended ({code}):\n{proc.tail()}")
+                with trio.move_on_after(0.2):
+                    await proc.changed.wait()
+            return
+        raise RuntimeError(f"{proc.name} is not ready:\n{proc.tail()}")
+
+    async def stop(self, proc: FleetProcess) -> int:
+        """Send SIGTERM and return the exit code; SIGKILL when it takes too long."""
+        proc.send_signal(signal.SIGTERM)
+        with trio.move_on_after(_STOP_TIMEOUT_S):
+            return await proc.process.wait()
+        proc.kill()
+        return await proc.process.wait()
+
+    async def _end_all(self) -> None:
+        for proc in self.processes.values():
+            # A stopped process acts on no signal but SIGKILL until it continues.
+            proc.send_signal(signal.SIGCONT)
+            proc.send_signal(signal.SIGKILL)
+        for proc in self.processes.values():
+            await proc.process.wait()
+
+    async def _read(self, proc: FleetProcess, pipe: trio.abc.ReceiveStream) -> None:
+        rest = b""
+        async with pipe:
+            async for data in pipe:
+                *lines, rest = (rest + data).split(b"\n")
+                for line in lines:
+                    _take_line(proc, line)
+                changed, proc.changed = proc.changed, trio.Event()
+                changed.set()
+
+
+def _take_line(proc: FleetProcess, line: bytes) -> None:
+    try:
+        data = json.loads(line)
+    except ValueError:
+        proc.other_lines.append(line.decode(errors="replace"))
+        return
+    if not isinstance(data, dict):
+        return
+    if "message_type" not in data:
+        proc.ready = proc.ready or data
+        return
+    proc.events.append(data)
+    del proc.events[:-_EVENTS_KEPT]
+
+
+async def poll_until(
+    check: Callable[[], Awaitable[bool]], timeout_s: float, interval_s: float = 0.05
+) -> bool:
+    """Call ``check`` until it holds; return False after ``timeout_s``."""
+    with trio.move_on_after(timeout_s):
+        while not await check():
+            await trio.sleep(interval_s)
+        return True
+    return False
