--- a/src/mustardfront/constants.py
+++ b/src/mustardfront/constants.py
@@ -23,6 +23,8 @@
 LINK_RETRY_MIN_S: Final = 0.2
 LINK_RETRY_MAX_S: Final = 5.0
 LINK_IDLE_S: Final = 60.0
+# How often the host list is compared with the routing table.
+HOSTS_APPLY_INTERVAL_S: Final = 1.0
 
 BODY_MAX_BYTES: Final = 2 * 1024 * 1024
 REQUEST_ID_MAX_CHARS: Final = 128
--- a/src/mustardfront/programs/entry/__init__.py
+++ b/src/mustardfront/programs/entry/__init__.py
@@ -1,1 +1,5 @@
-"""The entry program."""
+"""The callers' HTTP front."""
+
+from mustardfront.programs.entry._main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/mustardfront/programs/entry/__main__.py
@@ -0,0 +1,5 @@
+"""Run the callers' HTTP front."""
+
+from mustardfront.programs.entry import main
+
+main()
--- /dev/null
+++ b/src/mustardfront/programs/entry/_control.py
@@ -0,0 +1,71 @@
+"""What an entry learns from its sidecars, its peers and the configuration."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import trio
+
+from mustardfront.constants import HOSTS_APPLY_INTERVAL_S
+from mustardfront.coordination.config import ConfigStore
+from mustardfront.coordination.hosts import HostList
+from mustardfront.coordination.peers import PeerHub
+from mustardfront.coordination.quarantine import Quarantine
+from mustardfront.coordination.routing import UpstreamTable
+from mustardfront.programs.entry._links import SidecarLinks
+from mustardfront.protocol import (
+    CrashReport,
+    Leaving,
+    LoadReport,
+    Message,
+    PeerConnection,
+)
+from mustardfront.state import Config
+
+
+def add_control(hub: PeerHub, table: UpstreamTable, quarantine: Quarantine) -> None:
+    """Handle load reports, leaving notices and crash reports of all peers."""
+
+    async def handle(conn: PeerConnection, message: Message) -> bool:
+        if isinstance(message, LoadReport):
+            table.report(message)
+        elif isinstance(message, Leaving):
+            if conn.remote.role == "sidecar":
+                table.leaving(message.upstream or conn.remote.upstream)
+        elif isinstance(message, CrashReport):
+            new = quarantine.crashed(
+                message.upstream, message.instance, message.fingerprints
+            )
+            if new:
+                # Passed on once, so entries without a link to that sidecar learn too.
+                hub.broadcast(message)
+        else:
+            return False
+        return True
+
+    hub.add_handler(handle)
+
+
+async def follow_config(
+    store: ConfigStore, hosts: HostList, table: UpstreamTable, links: SidecarLinks
+) -> None:
+    """Apply each new configuration and the host list's leaving hosts."""
+    version = 0
+    leaving: frozenset[str] = frozenset()
+    while True:
+        with trio.move_on_after(HOSTS_APPLY_INTERVAL_S):
+            cfg = await store.wait_newer(version)
+            version = cfg.version
+            table.update_config(cfg)
+            links.keep(_addresses(cfg))
+        now_leaving = frozenset(
+            host.name for host in hosts.current if host.state == "leaving"
+        )
+        for name, upstream in store.current.upstreams.items():
+            if upstream.host in now_leaving - leaving:
+                table.leaving(name)
+        leaving = now_leaving
+
+
+def _addresses(cfg: Config) -> Mapping[str, str]:
+    return {name: upstream.address for name, upstream in cfg.upstreams.items()}
--- a/src/mustardfront/programs/entry/_links.py
+++ b/src/mustardfront/programs/entry/_links.py
@@ -13,8 +13,6 @@
     LINK_IDLE_S,
     LINK_RETRY_MAX_S,
     LINK_RETRY_MIN_S,
-    PEER_SILENCE_S,
-    PING_INTERVAL_S,
 )
 from mustardfront.coordination.peers import PeerHub
 from mustardfront.coordination.routing import UpstreamTable
@@ -22,8 +20,6 @@
     Calls,
     Identity,
     PeerConnection,
-    Ping,
-    Pong,
     connect_peer,
 )
 from mustardfront.results import Err, Ok, Result
@@ -108,55 +104,15 @@
         with hub.attached(conn):
             await hub.greet(conn)
             async with trio.open_nursery() as nursery:
-                heard = _Heard(trio.current_time())
-                nursery.start_soon(self._watch, conn, calls, heard, nursery)
-                await self._receive(conn, calls, hub, heard)
+                nursery.start_soon(self._end_when_idle, calls, nursery)
+                await _receive(conn, calls, hub)
                 nursery.cancel_scope.cancel()
 
-    async def _receive(
-        self, conn: PeerConnection, calls: Calls, hub: PeerHub, heard: _Heard
-    ) -> None:
-        while True:
-            message = await conn.receive()
-            if isinstance(message, Err):
-                return
-            heard.at_s = trio.current_time()
-            if isinstance(message.value, Ping):
-                await conn.send(Pong(message.value.nonce, message.value.config_version))
-            if await hub.handle(conn, message.value):
-                continue
-            wrong = calls.dispatch(message.value)
-            if wrong is not None:
-                events.log(
-                    events.Event.PEER_BAD_MESSAGE,
-                    peer=conn.remote.instance,
-                    code=int(wrong.code),
-                    text=wrong.text,
-                )
-                return
-
-    async def _watch(
-        self,
-        conn: PeerConnection,
-        calls: Calls,
-        heard: _Heard,
-        nursery: trio.Nursery,
-    ) -> None:
-        """Ping the sidecar; end the connection when it is silent or not needed."""
-        nonce = 0
-        while True:
-            await trio.sleep(PING_INTERVAL_S)
-            now_s = trio.current_time()
-            if now_s - heard.at_s > PEER_SILENCE_S:
-                events.log(events.Event.PEER_SILENT, peer=conn.remote.instance)
-                nursery.cancel_scope.cancel()
-                return
-            if not len(calls) and now_s - self.last_used_s > LINK_IDLE_S:
-                self.ended = True
-                nursery.cancel_scope.cancel()
-                return
-            nonce += 1
-            conn.send_nowait(Ping(nonce, 0))
+    async def _end_when_idle(self, calls: Calls, nursery: trio.Nursery) -> None:
+        while len(calls) or trio.current_time() - self.last_used_s < LINK_IDLE_S:
+            await trio.sleep(LINK_IDLE_S / 4)
+        self.ended = True
+        nursery.cancel_scope.cancel()
 
     def _settle(self, calls: Calls | None, refused: Err | None) -> None:
         self.calls, self.refused = calls, refused
@@ -164,11 +120,22 @@
         settled.set()
 
 
-class _Heard:
-    """When the sidecar was last heard, in trio time."""
-
-    def __init__(self, at_s: float) -> None:
-        self.at_s = at_s
+async def _receive(conn: PeerConnection, calls: Calls, hub: PeerHub) -> None:
+    while True:
+        message = await conn.receive()
+        if isinstance(message, Err):
+            return
+        if await hub.handle(conn, message.value):
+            continue
+        wrong = calls.dispatch(message.value)
+        if wrong is not None:
+            events.log(
+                events.Event.PEER_BAD_MESSAGE,
+                peer=conn.remote.instance,
+                code=int(wrong.code),
+                text=wrong.text,
+            )
+            return
 
 
 class SidecarLinks:
--- /dev/null
+++ b/src/mustardfront/programs/entry/_main.py
@@ -0,0 +1,100 @@
+"""The command of the callers' HTTP front."""
+
+from __future__ import annotations
+
+import random
+import sys
+from collections.abc import Callable, Mapping
+
+import click
+import trio
+
+from mustardfront import events
+from mustardfront.coordination.limits import RetryBudget, TeamLimits
+from mustardfront.coordination.quarantine import Quarantine
+from mustardfront.coordination.routing import UpstreamTable
+from mustardfront.programs._runtime import Process, Settings, run_process, serve_http
+from mustardfront.programs.entry._app import Front, make_app
+from mustardfront.programs.entry._control import add_control, follow_config
+from mustardfront.programs.entry._explain import Decisions
+from mustardfront.programs.entry._forward import Forwarder
+from mustardfront.programs.entry._links import SidecarLinks
+from mustardfront.settings import ADDRESS, common_settings, setting
+
+# Retries that a quiet service may always spend in the budget's window.
+RETRY_MINIMUM = 3
+
+
+@click.command()
+@setting("--listen", ADDRESS, "Address of the callers' HTTP front.")
+@common_settings
+def main(
+    listen: tuple[str, int],
+    peer_listen: tuple[str, int],
+    host: str,
+    place: str,
+    kv: str,
+    host_list: str,
+    key_file: bytes,
+) -> None:
+    """Take callers' requests and forward each to a capable upstream."""
+    settings = Settings(peer_listen, host, place, kv, host_list, key_file)
+
+    async def serve(
+        process: Process,
+        *,
+        task_status: trio.TaskStatus[Mapping[str, str]] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            front = _make_front(process, nursery)
+            async with trio.open_nursery() as http:
+                address = await http.start(serve_http, make_app(front), listen, process)
+                task_status.started({"listen": address})
+            # The links end only after the last answer has been sent.
+            nursery.cancel_scope.cancel()
+
+    sys.exit(run_process("entry", settings, serve))
+
+
+def _make_front(process: Process, nursery: trio.Nursery) -> Front:
+    table = UpstreamTable(trio.current_time)
+    quarantine = Quarantine(trio.current_time)
+    links = SidecarLinks(
+        nursery, process.identity, process.key, process.hub, table, random.Random()
+    )
+    add_control(process.hub, table, quarantine)
+    nursery.start_soon(follow_config, process.store, process.hosts, table, links)
+    decisions = Decisions()
+    events.add_listener(decisions.record)
+    forwarder = Forwarder(
+        config=lambda: process.store.current,
+        place=process.identity.place,
+        links=links,
+        table=table,
+        budget_of=_budgets(process),
+        quarantine=quarantine,
+    )
+    front = Front(
+        forwarder=forwarder,
+        teams=TeamLimits(),
+        metrics=process.metrics,
+        decisions=decisions,
+        is_ready=process.spread.synced.is_set,
+        is_draining=process.draining.is_set,
+    )
+    process.metrics.gauge(
+        "mustardfront_requests_in_flight", lambda: float(len(front.open_ids))
+    )
+    return front
+
+
+def _budgets(process: Process) -> Callable[[str], RetryBudget]:
+    budgets: dict[str, RetryBudget] = {}
+
+    def budget_of(service: str) -> RetryBudget:
+        if service not in budgets:
+            ratio = process.store.current.limits_of(service).retry_ratio
+            budgets[service] = RetryBudget(ratio, RETRY_MINIMUM)
+        return budgets[service]
+
+    return budget_of
--- /dev/null
+++ b/src/mustardfront_standins/demo.py
@@ -0,0 +1,253 @@
+"""``make demo``: both deployments' requests through the real programs."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Final
+
+import click
+import trio
+
+from mustardfront.codes import Code
+from mustardfront_standins.caller import Caller, CallerAnswer
+from mustardfront_standins.deployments import (
+    BELANGER,
+    NETZWERK,
+    Deployment,
+    UpstreamPlan,
+    completion,
+    drain_ticket,
+    first_ticket,
+    new_key,
+)
+from mustardfront_standins.fleet import Fleet, poll_until
+from mustardfront_standins.system import System, start_system
+from mustardfront_standins.tokens import answer_text
+
+_DRAFT_TOKENS: Final = 40
+_LONG_TOKENS: Final = 400
+_TIMEOUT_S: Final = 120.0
+
+
+@dataclass(slots=True)
+class Report:
+    """The printed table and what was not as it must be."""
+
+    wrong: list[str] = field(default_factory=list)
+
+    def row(self, title: str, team: str, service: str, answer: CallerAnswer) -> None:
+        """Print one request's row."""
+        code = Code(answer.code).name if answer.code else "NO ANSWER"
+        click.echo(
+            f"{title:<26} {team:<16} {service:<14} {answer.upstream:<16}"
+            f" {answer.outcome:<9} {code:<22} {answer.elapsed_s * 1000:7.1f} ms"
+        )
+
+    def expect(self, holds: bool, text: str) -> None:
+        """Note what must hold."""
+        if not holds:
+            self.wrong.append(text)
+            click.echo(f"  WRONG: {text}")
+
+    def code(self, title: str, answer: CallerAnswer, *codes: Code) -> None:
+        """Require one of these result codes."""
+        names = [code.name for code in codes]
+        self.expect(
+            answer.code in codes,
+            f"{title}: code {answer.code} ({answer.text}), must be one of {names}",
+        )
+
+
+async def _serve_deployment(
+    system: System, caller: Caller, report: Report, deployment: Deployment
+) -> None:
+    team = deployment.teams[0]
+    entry, other = system.entry_urls
+    prompt = f"{deployment.name}: first draft"
+    draft = await caller.complete(entry, team, deployment.model, prompt, _DRAFT_TOKENS)
+    report.row("streamed draft", team, deployment.model, draft)
+    report.code("streamed draft", draft, Code.ANSWERED)
+    report.expect(
+        draft.answer_text == answer_text(prompt, _DRAFT_TOKENS),
+        "streamed draft: the tokens are not the engine's",
+    )
+    path = f"/s/{deployment.plain}/records/{deployment.plain}-1001"
+    key = {"idempotency-key": new_key()}
+    booking = await caller.call(entry, "POST", path, team, b"{}", key)
+    report.row("non-idempotent call", team, deployment.plain, booking)
+    report.code("non-idempotent call", booking, Code.ANSWERED)
+    again = await caller.call(other, "POST", path, team, b"{}", key)
+    report.row("the same, sent again", team, deployment.plain, again)
+    report.code("sent again", again, Code.ANSWERED_FROM_RECORD)
+    report.expect(again.body == booking.body, "sent again: another answer")
+    look_up = await caller.call(other, "GET", path, team)
+    report.row("look-up", team, deployment.plain, look_up)
+    report.code("look-up", look_up, Code.ANSWERED)
+
+
+async def _refusals(system: System, caller: Caller, report: Report) -> None:
+    entry = system.entry_urls[0]
+    team, model = NETZWERK.teams[0], NETZWERK.model
+    body = completion(model, "refused", 5)
+    path = "/v1/completions"
+    key = {"idempotency-key": "not-a-uuid"}
+    book = f"/s/{NETZWERK.plain}/records/1"
+    wrong_key = {"authorization": f"Bearer {team}:guess"}
+    cases: Sequence[tuple[str, str, str, str, bytes, dict[str, str], Code]] = (
+        ("unknown team", "nobody", "POST", path, body, {}, Code.UNKNOWN_TEAM),
+        ("wrong key", team, "POST", path, body, wrong_key, Code.WRONG_KEY),
+        ("malformed body", team, "POST", path, b"{", {}, Code.MALFORMED_REQUEST),
+        ("unknown service", team, "GET", "/s/none/x", b"", {}, Code.UNKNOWN_SERVICE),
+        ("no such call", team, "PUT", book, b"", {}, Code.NO_ROUTE),
+        ("key missing", team, "POST", book, b"{}", {}, Code.KEY_REQUIRED),
+        ("key malformed", team, "POST", book, b"{}", key, Code.KEY_MALFORMED),
+    )
+    for title, name, method, target, data, headers, code in cases:
+        answer = await caller.call(entry, method, target, name, data, headers)
+        report.row(title, name, "", answer)
+        report.code(title, answer, code)
+        report.expect(answer.outcome == "not-run", f"{title}: {answer.outcome}")
+
+
+async def _kill_in_mid_stream(
+    system: System, caller: Caller, report: Report, fleet: Fleet
+) -> str:
+    """Kill the engine that serves a long draft; the draft must still be whole."""
+    team, model = NETZWERK.teams[1], NETZWERK.model
+    prompt, answer = "a long draft", CallerAnswer()
+    async with trio.open_nursery() as nursery:
+
+        async def draft() -> None:
+            await caller.complete(
+                system.entry_urls[1],
+                team,
+                model,
+                prompt,
+                _LONG_TOKENS,
+                progress=answer,
+            )
+
+        nursery.start_soon(draft)
+        await poll_until(lambda: _has_tokens(answer, 20), 10.0, 0.005)
+        killed = answer.upstream
+        fleet.processes[f"engine-{killed}"].kill()
+    report.row(f"{killed} killed", team, model, answer)
+    report.code("killed in mid-stream", answer, Code.ANSWERED)
+    report.expect(
+        answer.answer_text == answer_text(prompt, _LONG_TOKENS),
+        "killed in mid-stream: a token was lost, doubled or changed",
+    )
+    report.expect(answer.upstream != killed, "the stream did not move")
+    return killed
+
+
+async def _has_tokens(answer: CallerAnswer, count: int) -> bool:
+    return len(answer.tokens) >= count
+
+
+async def _drain(
+    system: System, caller: Caller, report: Report, drained: UpstreamPlan
+) -> None:
+    await system.submit(drain_ticket(2, drained))
+    report.expect(
+        await system.in_force_everywhere(2, 12.0), "ticket 2 is not in force in 12 s"
+    )
+    team = NETZWERK.teams[0]
+    for number in range(8):
+        answer = await caller.complete(
+            system.entry_urls[number % 2], team, NETZWERK.model, f"draft {number}", 5
+        )
+        report.code("after the drain", answer, Code.ANSWERED)
+        report.expect(
+            answer.upstream != drained.name, f"{drained.name} got work after its drain"
+        )
+    report.row("after ticket 2", team, NETZWERK.model, answer)
+
+
+async def _decisions(
+    system: System, caller: Caller, report: Report, answer_id: str
+) -> None:
+    shown = await system.cli("explain", answer_id)
+    click.echo(shown)
+    report.expect("ROUTE_CHOSEN" in shown.upper().replace("-", "_"), "no decision line")
+
+
+async def _dead_service(
+    system: System, caller: Caller, report: Report, fleet: Fleet
+) -> None:
+    """End all upstreams of a service: its calls are refused, others go on."""
+    for plan in system.plans:
+        if plan.service == BELANGER.plain:
+            fleet.processes[f"engine-{plan.name}"].kill()
+    team = BELANGER.teams[0]
+    path = f"/s/{BELANGER.plain}/records/cert-registry-1001"
+
+    async def refused() -> bool:
+        found = await caller.call(system.entry_urls[0], "GET", path, team)
+        last[:] = [found]
+        return found.outcome == "not-run"
+
+    last: list[CallerAnswer] = []
+    report.expect(await poll_until(refused, 15.0, 0.2), "a dead service still answers")
+    report.row("dead upstream", team, BELANGER.plain, last[0])
+    report.code("dead upstream", last[0], Code.UPSTREAM_DOWN, Code.NO_CAPABLE_UPSTREAM)
+    draft = await caller.complete(
+        system.entry_urls[0], team, BELANGER.model, "still served", 5
+    )
+    report.row("other service", team, BELANGER.model, draft)
+    report.code("other service", draft, Code.ANSWERED)
+
+
+async def _run(report: Report) -> None:
+    plans = NETZWERK.upstreams(3, 2) + BELANGER.upstreams(2, 2)
+    async with Fleet() as fleet, Caller() as caller:
+        system = await start_system(fleet, plans, entries=2, engine_args=_engine_args)
+        ticket = first_ticket((NETZWERK, BELANGER), plans, system.sidecar_addresses)
+        click.echo(await system.submit(ticket))
+        report.expect(
+            await system.in_force_everywhere(1, 12.0),
+            "ticket 1 is not in force in 12 s",
+        )
+        click.echo(await system.cli("status"))
+        for deployment in (NETZWERK, BELANGER):
+            await _serve_deployment(system, caller, report, deployment)
+        await _refusals(system, caller, report)
+        killed = await _kill_in_mid_stream(system, caller, report, fleet)
+        model_plans = [plan for plan in plans if plan.service == NETZWERK.model]
+        drained = next(plan for plan in model_plans if plan.name != killed)
+        await _drain(system, caller, report, drained)
+        explained = await caller.complete(
+            system.entry_urls[0], NETZWERK.teams[0], NETZWERK.model, "explained", 5
+        )
+        await _decisions(system, caller, report, explained.request_id)
+        await _dead_service(system, caller, report, fleet)
+        click.echo(await system.cli("ticket", "list"))
+        for name, proc in system.programs():
+            code = await fleet.stop(proc)
+            report.expect(code == 0, f"{name} ended with {code}:\n{proc.tail()}")
+
+
+def _engine_args(plan: UpstreamPlan) -> tuple[str, ...]:
+    return ("--step-ms", "4") if plan.kind == "model" else ()
+
+
+@click.command()
+def main() -> None:
+    """Run the demo; exit with 1 when anything is not what it must be."""
+    report = Report()
+
+    async def run() -> None:
+        with trio.fail_after(_TIMEOUT_S):
+            await _run(report)
+
+    trio.run(run)
+    if report.wrong:
+        click.echo(f"{len(report.wrong)} checks failed:\n" + "\n".join(report.wrong))
+        sys.exit(1)
+    click.echo("All requests had the outcome that they must have.")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/mustardfront_standins/engine/_app.py
+++ b/src/mustardfront_standins/engine/_app.py
@@ -135,7 +135,9 @@
             return
         # A wrong resume text shows a token lost or doubled before the resume.
         if not 0 <= start <= end or resume_text != answer_text(prompt, start):
-            await send_json(send, 400, {"error": "resume text is not the answer so far"})
+            await send_json(
+                send, 400, {"error": "resume text is not the answer so far"}
+            )
             return
         self.requests += 1
         request_id = header(scope, "x-request-id") or uuid.uuid4().hex
--- a/src/mustardfront_standins/fleet.py
+++ b/src/mustardfront_standins/fleet.py
@@ -162,8 +162,12 @@
         for proc in self.processes.values():
             await proc.process.wait()
 
-    async def _read(self, proc: FleetProcess, pipe: trio.abc.ReceiveStream) -> None:
+    async def _read(
+        self, proc: FleetProcess, pipe: trio.abc.ReceiveStream | None
+    ) -> None:
         rest = b""
+        if pipe is None:
+            return
         async with pipe:
             async for data in pipe:
                 *lines, rest = (rest + data).split(b"\n")
@@ -193,7 +197,8 @@
 ) -> bool:
     """Call ``check`` until it holds; return False after ``timeout_s``."""
     with trio.move_on_after(timeout_s):
-        while not await check():
+        while True:
+            if await check():
+                return True
             await trio.sleep(interval_s)
-        return True
     return False
