Add the torture run: random faults over real processes, then checks

Cause: guarantees have to hold while anything fails at any moment. Ruled out: faults injected by hooks in the product, which would test another program than the one that ships; signals and the stand-ins' own faults serve. Before: none. After: not yet run.

--- a/src/mustardfront_standins/fleet.py
+++ b/src/mustardfront_standins/fleet.py
@@ -67,6 +67,14 @@
             seen = len(self.events)
             await self.changed.wait()
 
+    def versions(self) -> list[int]:
+        """Return the configuration versions that came in force, in order."""
+        return [
+            event["version"]
+            for event in self.events
+            if event.get("message_type") == "config-in-force"
+        ]
+
     def tail(self) -> str:
         """Return the last lines that were no events, such as a traceback."""
         return "\n".join(self.other_lines[-30:])
--- a/src/mustardfront_standins/system.py
+++ b/src/mustardfront_standins/system.py
@@ -37,6 +37,8 @@
     entry_urls: list[str]
     sidecar_addresses: Mapping[str, str]
     upstream_urls: dict[str, str]
+    # Place and peer address of each entry.
+    entry_peers: list[tuple[str, str]]
 
     def programs(self) -> list[tuple[str, FleetProcess]]:
         """Return the project's own processes that were started, by name."""
@@ -66,11 +68,11 @@
             raise RuntimeError(f"{args} ended with {result.returncode}: {text}")
         return text.rstrip()
 
-    async def submit(self, ticket: Mapping[str, Any]) -> str:
+    async def submit(self, ticket: Mapping[str, Any], check: bool = True) -> str:
         """Submit a ticket with the command line."""
         name = f"ticket-{ticket['ticket']}.json"
         path = self.fleet.write(name, json.dumps(ticket, indent=2))
-        return await self.cli("ticket", "submit", str(path))
+        return await self.cli("ticket", "submit", str(path), check=check)
 
     async def in_force_everywhere(self, version: int, timeout_s: float) -> bool:
         """Wait until every live process of the system logged this version."""
@@ -136,6 +138,11 @@
             *self._common(f"entry-host-{number + 1}", place, peer_listen),
         )
 
+    async def restart_entry(self, number: int) -> FleetProcess:
+        """Start an ended entry again at its old addresses."""
+        place, peer_listen = self.entry_peers[number]
+        return await self.start_entry(number, place, peer_listen)
+
     async def start_admin(self, place: str, peer_listen: str) -> FleetProcess:
         """Start the administration API."""
         return await self.fleet.start(
@@ -183,6 +190,7 @@
         entry_urls=[f"http://{_address()}" for _ in range(entries)],
         sidecar_addresses={plan.name: _address() for plan in plans},
         upstream_urls={},
+        entry_peers=[],
     )
     async with trio.open_nursery() as nursery:
         for plan in plans:
@@ -194,6 +202,7 @@
         await system.start_sidecar(plan)
     for number in range(entries):
         address, place = _address(), places[number % len(places)]
+        system.entry_peers.append((place, address))
         await system.announce(f"entry-host-{number + 1}", place, "entry", address)
         await system.start_entry(number, place, address)
     address = _address()
--- /dev/null
+++ b/src/mustardfront_standins/torture/__init__.py
@@ -0,0 +1,1 @@
+"""Random faults over the real processes, with checks of what must always hold."""
--- /dev/null
+++ b/src/mustardfront_standins/torture/__main__.py
@@ -0,0 +1,106 @@
+"""``make torture SEED=n``: a minute of random faults, then the checks."""
+
+from __future__ import annotations
+
+import random
+import sys
+from collections import Counter
+
+import click
+import trio
+
+from mustardfront_standins.caller import Caller
+from mustardfront_standins.deployments import NETZWERK, UpstreamPlan, first_ticket
+from mustardfront_standins.fleet import Fleet
+from mustardfront_standins.system import start_system
+from mustardfront_standins.torture._faults import Faults
+from mustardfront_standins.torture._history import History, read_runs, violations
+from mustardfront_standins.torture._load import run_callers
+
+# Time after the last fault for requests to end and tickets to be in force.
+_SETTLE_S = 12.0
+_LIMIT_S = 180.0
+
+
+@click.command()
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--seconds", type=float, default=45.0, show_default=True)
+@click.option("--callers", type=int, default=16, show_default=True)
+@click.option(
+    "--break",
+    "broken",
+    type=click.Choice(["none", "double-run", "swap-token"]),
+    default="none",
+    show_default=True,
+    help="Break a guarantee on purpose; the run must then fail.",
+)
+def main(seed: int, seconds: float, callers: int, broken: str) -> None:
+    """Run random faults over real processes; exit with 1 on any violation."""
+    found = trio.run(_run, seed, seconds, callers, broken)
+    for text in found[:20]:
+        click.echo(f"VIOLATION: {text}")
+    click.echo(f"seed {seed}: {len(found)} violations")
+    sys.exit(1 if found else 0)
+
+
+async def _run(seed: int, seconds: float, callers: int, broken: str) -> list[str]:
+    plans = NETZWERK.upstreams(3, 3)
+    history = History()
+    async with Fleet() as fleet, Caller() as caller:
+
+        def upstream_args(plan: UpstreamPlan) -> tuple[str, ...]:
+            if plan.kind == "model":
+                return ("--step-ms", "5", *_break_args(broken, "swap-token"))
+            log = str(fleet.folder / f"{plan.name}.runs")
+            return ("--run-log", log, *_break_args(broken, "double-run"))
+
+        with trio.fail_after(_LIMIT_S):
+            system = await start_system(fleet, plans, 2, upstream_args)
+            await system.submit(
+                first_ticket((NETZWERK,), plans, system.sidecar_addresses)
+            )
+            if not await system.in_force_everywhere(1, 12.0):
+                return ["ticket 1 was not in force everywhere in 12 s"]
+            stop_s = trio.current_time() + seconds
+            faults = Faults(system, history, random.Random(seed), upstream_args)
+
+            def stopped() -> bool:
+                return trio.current_time() >= stop_s
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(faults.run, stopped)
+                nursery.start_soon(
+                    run_callers, system, caller, history, seed, callers, stopped
+                )
+            await system.control_kv(outage="", delay_ms=0, lose_answers=0)
+            last = max(history.accepted, default=1)
+            settled = await system.in_force_everywhere(last, _SETTLE_S)
+        for name, process in system.programs():
+            history.versions[f"{name}/{process.pid}"] = process.versions()
+        logs = [fleet.folder / f"{plan.name}.runs" for plan in plans]
+        runs = read_runs(logs)
+    _print_counts(history, faults.counts, runs)
+    late = [] if settled else [f"version {last} was not in force in {_SETTLE_S} s"]
+    return late + violations(history, runs)
+
+
+def _break_args(broken: str, kind: str) -> tuple[str, ...]:
+    return (f"--{kind}",) if broken == kind else ()
+
+
+def _print_counts(history: History, faults: Counter[str], runs: Counter[str]) -> None:
+    for kind, count in sorted(faults.items()):
+        click.echo(f"  {kind:<24} {count}")
+    for title, sent in (
+        ("streams", history.streams),
+        ("bookings sent", history.bookings),
+        ("look-ups", history.look_ups),
+    ):
+        outcomes = Counter(item.answer.outcome or "no answer" for item in sent)
+        click.echo(f"  {title:<24} {len(sent)} {dict(sorted(outcomes.items()))}")
+    click.echo(f"  records run              {len(runs)}")
+    click.echo(f"  tickets accepted         {len(history.accepted)}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/mustardfront_standins/torture/_faults.py
@@ -0,0 +1,146 @@
+"""Kills, freezes, outages, lost answers, tickets and orderly restarts."""
+
+from __future__ import annotations
+
+import random
+import signal
+from collections import Counter
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from mustardfront_standins.deployments import UpstreamPlan, drain_ticket
+from mustardfront_standins.fleet import FleetProcess
+from mustardfront_standins.system import System
+from mustardfront_standins.torture._history import History
+
+
+class Faults:
+    """Makes one random fault after another and counts them by kind."""
+
+    def __init__(
+        self,
+        system: System,
+        history: History,
+        rng: random.Random,
+        upstream_args: Callable[[UpstreamPlan], tuple[str, ...]],
+    ) -> None:
+        self.counts: Counter[str] = Counter()
+        self._system = system
+        self._history = history
+        self._rng = rng
+        self._upstream_args = upstream_args
+        self._ticket = 1
+        self._kinds: dict[str, Callable[[], Awaitable[None]]] = {
+            "engine killed": self._kill_upstream,
+            "sidecar killed": self._kill_sidecar,
+            "sidecar frozen": self._freeze_sidecar,
+            "upstream frozen": self._freeze_upstream,
+            "entry killed": self._kill_entry,
+            "entry shut down": self._shut_down_entry,
+            "store outage": self._store_outage,
+            "store slow": self._store_slow,
+            "store answers lost": self._store_lost_answers,
+            "host drained and back": self._drain,
+        }
+
+    async def run(self, stopped: Callable[[], bool]) -> None:
+        """Make faults, some at the same time, until ``stopped``."""
+        async with trio.open_nursery() as nursery:
+            while not stopped():
+                kind = self._rng.choice(sorted(self._kinds))
+                self.counts[kind] += 1
+                if self._rng.random() < 0.3:
+                    nursery.start_soon(self._kinds[kind])
+                else:
+                    await self._kinds[kind]()
+                await trio.sleep(self._rng.uniform(0.2, 1.0))
+
+    def _plan(self, kind: str = "") -> UpstreamPlan:
+        fitting = [plan for plan in self._system.plans if kind in ("", plan.kind)]
+        return self._rng.choice(fitting)
+
+    def _process(self, name: str) -> FleetProcess:
+        return self._system.fleet.processes[name]
+
+    async def _kill_upstream(self) -> None:
+        plan = self._plan()
+        process = self._process(f"engine-{plan.name}")
+        if process.process.poll() is not None:
+            return
+        process.kill()
+        await process.process.wait()
+        await trio.sleep(self._rng.uniform(0.0, 1.0))
+        await self._system.start_upstream(plan, self._upstream_args(plan))
+
+    async def _kill_sidecar(self) -> None:
+        plan = self._plan()
+        process = self._process(f"sidecar-{plan.name}")
+        if process.process.poll() is not None:
+            return
+        process.kill()
+        await process.process.wait()
+        self._note_versions(process)
+        await self._system.start_sidecar(plan)
+
+    async def _freeze_sidecar(self) -> None:
+        await self._freeze(self._process(f"sidecar-{self._plan().name}"))
+
+    async def _freeze_upstream(self) -> None:
+        await self._freeze(self._process(f"engine-{self._plan().name}"))
+
+    async def _freeze(self, process: FleetProcess) -> None:
+        process.send_signal(signal.SIGSTOP)
+        await trio.sleep(self._rng.uniform(0.2, 8.0))
+        process.send_signal(signal.SIGCONT)
+
+    async def _kill_entry(self) -> None:
+        await self._restart_entry(signal.SIGKILL)
+
+    async def _shut_down_entry(self) -> None:
+        await self._restart_entry(signal.SIGTERM)
+
+    async def _restart_entry(self, number: signal.Signals) -> None:
+        index = self._rng.randrange(len(self._system.entry_urls))
+        process = self._process(f"entry-{index + 1}")
+        if process.process.poll() is not None:
+            return
+        process.send_signal(number)
+        with trio.move_on_after(20):
+            await process.process.wait()
+        if process.process.poll() is None:
+            process.kill()
+            await process.process.wait()
+        self._note_versions(process)
+        await self._system.restart_entry(index)
+
+    async def _store_outage(self) -> None:
+        outage = self._rng.choice(["unavailable", "cut", "hang"])
+        await self._system.control_kv(outage=outage)
+        await trio.sleep(self._rng.uniform(0.5, 5.0))
+        await self._system.control_kv(outage="")
+
+    async def _store_slow(self) -> None:
+        await self._system.control_kv(delay_ms=self._rng.uniform(50, 600))
+        await trio.sleep(self._rng.uniform(0.5, 3.0))
+        await self._system.control_kv(delay_ms=0)
+
+    async def _store_lost_answers(self) -> None:
+        await self._system.control_kv(lose_answers=self._rng.randint(1, 3))
+
+    async def _drain(self) -> None:
+        plan = self._plan()
+        for state in ("draining", "active"):
+            ticket = drain_ticket(self._ticket + 1, plan)
+            ticket["set"]["hosts"][plan.host]["state"] = state
+            for _ in range(5):
+                shown = await self._system.submit(ticket, check=False)
+                if "accepted" in shown.lower() and "not accepted" not in shown.lower():
+                    self._ticket += 1
+                    self._history.accepted.append(self._ticket)
+                    break
+                await trio.sleep(1.0)
+            await trio.sleep(self._rng.uniform(0.2, 1.0))
+
+    def _note_versions(self, process: FleetProcess) -> None:
+        self._history.versions[f"{process.name}/{process.pid}"] = process.versions()
