Keep a finished request from being cancelled by its own disconnect

Cause: the HTTP server reports a disconnect right after an answer's last part. The watcher then cancelled the request inside the server's send, the log said 'the caller disconnected', and an entry did not end on SIGTERM. Ruled out: the sidecar links and the configuration task, which end at once in a run without requests (1.1 s). Before: SIGTERM took over 20 s and needed SIGKILL. After: 1.1 s, exit code 0, over the same three requests. Conclusion: the answer notes its end before its last send. Also the field 'host' of peer events was hidden by the process's own; it is 'peer_host'.

--- a/src/mustardfront/coordination/peers/_heartbeat.py
+++ b/src/mustardfront/coordination/peers/_heartbeat.py
@@ -53,7 +53,7 @@
                     events.log(
                         events.Event.PEER_SILENT,
                         peer=conn.remote.instance,
-                        host=conn.remote.host,
+                        peer_host=conn.remote.host,
                         silent_s=round(quiet_s, 1),
                     )
                     text = f"no message for {quiet_s:.1f} s"
--- a/src/mustardfront/programs/entry/_answers.py
+++ b/src/mustardfront/programs/entry/_answers.py
@@ -70,13 +70,15 @@
         self._request_id = request_id
         self._closing = closing
         self.begun = False
+        # Set before the last send: the server reports a disconnect right after it.
+        self.ended = False
 
     async def whole(
         self, finish: Finish, status: int, headers: Headers, body: bytes
     ) -> None:
         """Send a complete answer that came from an upstream."""
         await self._begin(status, finish, headers, len(body))
-        await self._send({"type": "http.response.body", "body": body})
+        await self._body(body, more=False)
 
     async def refuse(self, finish: Finish) -> None:
         """Send an error answer, or an error event when a stream has begun."""
@@ -97,7 +99,7 @@
             seconds = -(-finish.retry_after_ms // 1000)
             headers += (("retry-after", str(seconds)),)
         await self._begin(status_of(finish.code), finish, headers, len(body))
-        await self._send({"type": "http.response.body", "body": body})
+        await self._body(body, more=False)
 
     async def begin_stream(self, finish: Finish) -> None:
         """Send the head of an event stream; ``finish`` names the upstream."""
@@ -130,6 +132,7 @@
         await self._body(frame, more=False)
 
     async def _body(self, data: bytes, *, more: bool) -> None:
+        self.ended = self.ended or not more
         await self._send(
             {"type": "http.response.body", "body": data, "more_body": more}
         )
--- a/src/mustardfront/programs/entry/_app.py
+++ b/src/mustardfront/programs/entry/_app.py
@@ -162,7 +162,8 @@
     async def watch() -> None:
         while (await receive())["type"] != "http.disconnect":
             pass
-        nursery.cancel_scope.cancel()
+        if not answer.ended:
+            nursery.cancel_scope.cancel()
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(watch)
--- a/src/mustardfront/programs/entry/_links.py
+++ b/src/mustardfront/programs/entry/_links.py
@@ -109,7 +109,10 @@
                 nursery.cancel_scope.cancel()
 
     async def _end_when_idle(self, calls: Calls, nursery: trio.Nursery) -> None:
-        while len(calls) or trio.current_time() - self.last_used_s < LINK_IDLE_S:
+        while True:
+            idle_s = trio.current_time() - self.last_used_s
+            if not len(calls) and idle_s >= LINK_IDLE_S:
+                break
             await trio.sleep(LINK_IDLE_S / 4)
         self.ended = True
         nursery.cancel_scope.cancel()
--- a/src/mustardfront/protocol/_peer.py
+++ b/src/mustardfront/protocol/_peer.py
@@ -141,7 +141,7 @@
             events.Event.PEER_CONNECTED,
             peer=hello.value.instance,
             role=hello.value.role,
-            host=hello.value.host,
+            peer_host=hello.value.host,
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_write, frames, receive, conn)
--- a/src/mustardfront_standins/torture/_history.py
+++ b/src/mustardfront_standins/torture/_history.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 from collections import Counter
 from collections.abc import Iterable
@@ -121,7 +122,7 @@
     found = [
         f"{process} went from version {before} to {after}"
         for process, versions in history.versions.items()
-        for before, after in zip(versions, versions[1:], strict=False)
+        for before, after in itertools.pairwise(versions)
         if after <= before
     ]
     if len(set(history.accepted)) != len(history.accepted):
--- a/tests/test_sidecar_processes.py
+++ b/tests/test_sidecar_processes.py
@@ -1,6 +1,5 @@
 """The real sidecar process against real stand-ins, with kills and freezes."""
 
-
 import pytest
 
 from mustardfront.codes import Code
