--- a/src/mustardfront/programs/sidecar/_health.py
+++ b/src/mustardfront/programs/sidecar/_health.py
@@ -23,7 +23,10 @@
 FAILURES_TO_DOWN: Final = 3
 # Tasks learn within this time that a dead process's connections are closed.
 LOSS_SETTLE_S: Final = 0.05
-_CALL = UpstreamCall("GET", "/healthz")
+# A process that ends closes its connections one by one and its listener at any point
+# between them, so a check in that time is cut and says nothing yet.
+CUT_RETRIES: Final = 20
+_CALL: Final = UpstreamCall("GET", "/healthz")
 
 
 class _Body(msgspec.Struct):
@@ -32,11 +35,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Check:
-    """What one health check found; ``refused`` when nothing accepts connections."""
+    """What one health check found.
+
+    ``refused`` when nothing accepts connections, ``cut`` when the connection closed
+    without an answer.
+    """
 
     alive: bool
     instance: str = ""
     refused: bool = False
+    cut: bool = False
     text: str = ""
 
 
@@ -46,12 +54,12 @@
         async with client.exchange(_CALL) as answer:
             if isinstance(answer, Err):
                 refused = answer.code is Code.UPSTREAM_DOWN
-                return Check(False, refused=refused, text=answer.text)
+                return Check(False, refused=refused, cut=not refused, text=answer.text)
             body = b""
             while True:
                 part = await answer.value.receive()
                 if isinstance(part, Err):
-                    return Check(False, text=part.text)
+                    return Check(False, cut=True, text=part.text)
                 if not part.value:
                     break
                 body += part.value
@@ -83,21 +91,25 @@
         """Check the upstream regularly, until cancelled."""
         while True:
             async with self._checking:
-                await self._check()
+                await self._check(periodic=True)
             await trio.sleep(CHECK_INTERVAL_S)
 
     async def confirm_loss(self, attempt: Attempt) -> bool:
         """Say whether the process that ran a lost attempt is gone; report it then."""
         async with self._checking:
-            if self._is_over(attempt):
-                return True
-            await self._check()
+            for _ in range(CUT_RETRIES):
+                if self._is_over(attempt):
+                    return True
+                found = await self._check()
+                if not found.cut:
+                    break
+                await trio.sleep(LOSS_SETTLE_S)
             return self._is_over(attempt)
 
     def _is_over(self, attempt: Attempt) -> bool:
         return bool(attempt.instance) and attempt.instance == self._crashed
 
-    async def _check(self) -> None:
+    async def _check(self, *, periodic: bool = False) -> Check:
         side = self._side
         found = await check_upstream(self._client)
         if found.alive:
@@ -106,7 +118,9 @@
                 await self._changed(found.instance)
             side.instance = found.instance
             side.set_healthy(True, "")
-            return
+            return found
+        if found.cut and not periodic:
+            return found
         self._failures += 1
         if found.refused:
             await self._gone()
@@ -114,6 +128,7 @@
         elif self._failures >= FAILURES_TO_DOWN:
             side.set_healthy(False, found.text)
             self._release_callers(found.text)
+        return found
 
     async def _changed(self, instance: str) -> None:
         """Handle a restart: only requests that lost their connection ran before it.
--- a/tests/running.py
+++ b/tests/running.py
@@ -7,7 +7,7 @@
 import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import trio
 
@@ -18,7 +18,6 @@
     Chunk,
     ConfigPush,
     CrashReport,
-    End,
     Head,
     Identity,
     Leaving,
@@ -104,10 +103,7 @@
         yield started, ready
 
 
-@asynccontextmanager
-async def sidecar(
-    url: str, key_file, kv_url: str, listen: str = "127.0.0.1:0"
-) -> AsyncIterator[tuple[Program, str]]:
+def sidecar_flags(url: str, key_file, kv_url: str, listen: str) -> list[str]:
     args = {
         "upstream-name": "w1",
         "upstream-url": url,
@@ -118,7 +114,14 @@
         "host-list": "http://127.0.0.1:1",
         "key-file": str(key_file),
     }
-    flags = [part for name, value in args.items() for part in (f"--{name}", value)]
+    return [part for name, value in args.items() for part in (f"--{name}", value)]
+
+
+@asynccontextmanager
+async def sidecar(
+    url: str, key_file, kv_url: str, listen: str = "127.0.0.1:0"
+) -> AsyncIterator[tuple[Program, str]]:
+    flags = sidecar_flags(url, key_file, kv_url, listen)
     async with program("mustardfront.programs.sidecar", *flags) as started:
         with trio.fail_after(START_LIMIT_S):
             ready = await started.line_with("message_type", "process-ready")
@@ -153,8 +156,6 @@
     assert isinstance(ticket, Ok)
     cfg = apply_ticket(Config(version=0), ticket.value)
     assert isinstance(cfg, Ok)
-    from dataclasses import replace
-
     return replace(cfg.value, version=version)
 
 
@@ -230,6 +231,15 @@
     async def push(self, cfg: Config) -> None:
         await self.conn.send(ConfigPush(cfg.version, config_to_bytes(cfg)))
 
+    async def run_when_up(self, req: Request) -> "Gathered":
+        """Repeat a request that is refused until the upstream is back."""
+        for _ in range(100):
+            got = await self.run(req)
+            if not isinstance(got.last, Refused):
+                return got
+            await trio.sleep(0.1)
+        raise AssertionError(f"still refused: {got.last}")
+
     async def run(self, req: Request, *, on_chunk=None) -> Gathered:
         got = Gathered()
         with trio.fail_after(STEP_LIMIT_S), self.calls.open() as call:
@@ -262,6 +272,3 @@
             nursery.start_soon(one.receive)
             yield one
             nursery.cancel_scope.cancel()
-
-
-__all__ = ["End", "Refused"]
--- a/tests/test_sidecar_attempts.py
+++ b/tests/test_sidecar_attempts.py
@@ -326,6 +326,8 @@
     [
         # The process accepts no connection any more.
         (["i1"] * 5 + [REFUSED], 1, Code.UPSTREAM_CRASHED),
+        # The first check meets the process while it closes its sockets.
+        (["i1"] * 5 + [LOST, LOST, REFUSED], 1, Code.UPSTREAM_CRASHED),
         # It was restarted before the check.
         (["i1"] * 5 + ["i2"], 1, Code.UPSTREAM_CRASHED),
         # Only the connection was cut; the process still lives.
