Tell a confirmed crash in mid-stream by its own code; test with the fleet

UPSTREAM_CRASHED now also ends a stream whose upstream was found dead, because the entry retries such a request as a suspect; STREAM_CUT stays for streams whose upstream lives or is silent, which the entry resumes elsewhere. The process tests use the shared fleet.

--- a/src/mustardfront/programs/sidecar/_health.py
+++ b/src/mustardfront/programs/sidecar/_health.py
@@ -189,4 +189,4 @@
         """
         for one in self._side.attempts:
             if one.running and one.req.idempotent and not one.lost:
-                one.abort(Err(Code.UPSTREAM_TIMEOUT, f"the upstream is silent: {text}"))
+                one.abort(Err(Code.STREAM_CUT, f"the upstream is silent: {text}"))
--- a/src/mustardfront/programs/sidecar/_relay.py
+++ b/src/mustardfront/programs/sidecar/_relay.py
@@ -185,8 +185,7 @@
     if err.code is not Code.STREAM_CUT:
         return attempt.ended(err)
     attempt.lost = True
-    crashed = await side.confirm_loss(attempt)
-    if crashed and attempt.next_index == attempt.req.resume_from:
+    if await side.confirm_loss(attempt):
         err = Err(Code.UPSTREAM_CRASHED, f"the upstream crashed: {err.text}")
     return attempt.ended(err)
 
--- a/tests/running.py
+++ b/tests/running.py
@@ -1,10 +1,6 @@
 """Programs started for a test, and a caller that speaks to a sidecar."""
 
 import json
-import os
-import signal
-import subprocess
-import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
@@ -34,76 +30,14 @@
     config_to_bytes,
     ticket_from_data,
 )
+from mustardfront_standins.fleet import Fleet, FleetProcess
 
 KEY = b"a-shared-test-key"
-START_LIMIT_S = 20
+NOTHING = "http://127.0.0.1:1"
 STEP_LIMIT_S = 30
 
 
-@dataclass
-class Program:
-    process: trio.Process
-    lines: list[dict] = field(default_factory=list)
-    _grew: trio.Event = field(default_factory=trio.Event)
-
-    async def read(self, stream) -> None:
-        rest = b""
-        async for data in stream:
-            *whole, rest = (rest + data).split(b"\n")
-            for line in whole:
-                if line.startswith(b"{"):
-                    self.lines.append(json.loads(line))
-            self._grew.set()
-            self._grew = trio.Event()
-
-    async def line_with(self, key: str, value=None) -> dict:
-        """Wait for a line that has the key, with the value unless it is None."""
-        with trio.fail_after(STEP_LIMIT_S):
-            while True:
-                for line in self.lines:
-                    if key in line and value in (None, line[key]):
-                        return line
-                await self._grew.wait()
-
-    def signal(self, number: signal.Signals) -> None:
-        self.process.send_signal(number)
-
-    async def wait(self) -> int:
-        with trio.fail_after(STEP_LIMIT_S):
-            return await self.process.wait()
-
-
-@asynccontextmanager
-async def program(module: str, *args: str) -> AsyncIterator[Program]:
-    process = await trio.lowlevel.open_process(
-        [sys.executable, "-m", module, *args],
-        stdout=subprocess.PIPE,
-        stderr=subprocess.PIPE,
-        env=os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)},
-    )
-    started = Program(process)
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(started.read, process.stdout)
-        nursery.start_soon(started.read, process.stderr)
-        try:
-            yield started
-        finally:
-            if process.returncode is None:
-                process.kill()
-            with trio.CancelScope(shield=True, deadline=trio.current_time() + 10):
-                await process.wait()
-            nursery.cancel_scope.cancel()
-
-
-@asynccontextmanager
-async def standin(name: str, *args: str) -> AsyncIterator[tuple[Program, dict]]:
-    async with program(f"mustardfront_standins.{name}", *args) as started:
-        with trio.fail_after(START_LIMIT_S):
-            ready = await started.line_with("url")
-        yield started, ready
-
-
-def sidecar_flags(url: str, key_file, kv_url: str, listen: str) -> list[str]:
+def sidecar_flags(fleet: Fleet, url: str, kv_url: str, listen: str) -> list[str]:
     args = {
         "upstream-name": "w1",
         "upstream-url": url,
@@ -111,22 +45,44 @@
         "host": "h1",
         "place": "a",
         "kv": kv_url,
-        "host-list": "http://127.0.0.1:1",
-        "key-file": str(key_file),
+        "host-list": NOTHING,
+        "key-file": str(fleet.write("key", KEY.decode())),
     }
     return [part for name, value in args.items() for part in (f"--{name}", value)]
 
 
+@dataclass
+class Served:
+    """A stand-in, its sidecar and a caller of the sidecar."""
+
+    fleet: Fleet
+    upstream: FleetProcess
+    side: FleetProcess
+    address: str
+    caller: "Caller"
+
+
 @asynccontextmanager
-async def sidecar(
-    url: str, key_file, kv_url: str, listen: str = "127.0.0.1:0"
-) -> AsyncIterator[tuple[Program, str]]:
-    flags = sidecar_flags(url, key_file, kv_url, listen)
-    async with program("mustardfront.programs.sidecar", *flags) as started:
-        with trio.fail_after(START_LIMIT_S):
-            ready = await started.line_with("message_type", "process-ready")
-            await started.line_with("message_type", "upstream-state")
-        yield started, ready["addresses"]["peer"]
+async def served(name: str = "engine", *args: str, cfg=None) -> AsyncIterator[Served]:
+    async with Fleet() as fleet:
+        upstream = await fleet.start_standin(name, name, *args)
+        kv = await fleet.start_standin("kv", "kv")
+        flags = sidecar_flags(
+            fleet, upstream.ready["url"], kv.ready["url"], "127.0.0.1:0"
+        )
+        side = await fleet.start("sidecar", "mustardfront.programs.sidecar", *flags)
+        with trio.fail_after(STEP_LIMIT_S):
+            ready = await side.wait_event("process-ready")
+            await side.wait_event("upstream-state")
+        address = ready["addresses"]["peer"]
+        async with caller(address) as one:
+            await one.push(cfg or make_config())
+            yield Served(fleet, upstream, side, address, one)
+
+
+async def exit_code(proc: FleetProcess) -> int:
+    with trio.fail_after(STEP_LIMIT_S):
+        return await proc.process.wait()
 
 
 def make_config(version: int = 1, upstream_state: str = "active", **limits) -> Config:
--- a/tests/test_sidecar_attempts.py
+++ b/tests/test_sidecar_attempts.py
@@ -374,7 +374,7 @@
         nursery.start_soon(health.run)
         await run_attempt(side, attempt)
         nursery.cancel_scope.cancel()
-    code = Code.UPSTREAM_TIMEOUT if idempotent else Code.ANSWERED
+    code = Code.STREAM_CUT if idempotent else Code.ANSWERED
     assert attempt.conn.sent[-1].code == code
     assert not side.healthy and Started(1) in attempt.conn.sent
 
