--- a/tests/test_sidecar_attempts.py
+++ b/tests/test_sidecar_attempts.py
@@ -326,6 +326,8 @@
     [
         # The process accepts no connection any more.
         (["i1"] * 5 + [REFUSED], 1, Code.UPSTREAM_CRASHED),
+        # The first check meets the process while it closes its sockets.
+        (["i1"] * 5 + [LOST, LOST, REFUSED], 1, Code.UPSTREAM_CRASHED),
         # It was restarted before the check.
         (["i1"] * 5 + ["i2"], 1, Code.UPSTREAM_CRASHED),
         # Only the connection was cut; the process still lives.
@@ -372,7 +374,7 @@
         nursery.start_soon(health.run)
         await run_attempt(side, attempt)
         nursery.cancel_scope.cancel()
-    code = Code.UPSTREAM_TIMEOUT if idempotent else Code.ANSWERED
+    code = Code.STREAM_CUT if idempotent else Code.ANSWERED
     assert attempt.conn.sent[-1].code == code
     assert not side.healthy and Started(1) in attempt.conn.sent
 
