--- a/src/mustardfront/coordination/config/_spread.py
+++ b/src/mustardfront/coordination/config/_spread.py
@@ -234,8 +234,6 @@
                     break
                 conn = self._rng.choice(newer)
                 conn.send_nowait(ConfigPull(version))
-                with trio.move_on_after(PULL_TIMEOUT_S) as waiting:
+                # A peer that does not answer in time may be frozen; another is drawn.
+                with trio.move_on_after(PULL_TIMEOUT_S):
                     await self._store.wait_newer(version)
-                if waiting.cancelled_caught:
-                    # Another peer is tried until this one tells its version again.
-                    self._heard.pop(conn, None)
--- a/src/mustardfront/coordination/config/_watch.py
+++ b/src/mustardfront/coordination/config/_watch.py
@@ -49,6 +49,7 @@
         self._rng = rng
         self._is_isolated = is_isolated
         self._failures = 0
+        self._watched_revision = 0
         self.watching = False
 
     def is_elected(self) -> bool:
@@ -131,6 +132,7 @@
         while True:
             revision = await self.read()
             if isinstance(revision, Ok):
+                self._watched_revision = revision.value
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._reread, nursery.cancel_scope)
                     await self._follow(revision.value + 1)
@@ -141,6 +143,7 @@
         """Take each new head until the watch or a read fails."""
         async with self._kv.watch(records.HEAD_KEY, revision) as changes:
             async for change in changes:
+                self._watched_revision = change.mod_revision
                 if change.value is None:
                     continue
                 head = records.decode_head_bytes(change.value)
@@ -155,12 +158,10 @@
                     return
 
     async def _reread(self, watch: trio.CancelScope) -> None:
-        """End the watch when it missed a version or the service went away."""
+        """End the watch when it missed a change or the service went away."""
         while True:
             await trio.sleep(REREAD_S * self._rng.uniform(0.8, 1.0))
-            version = self._store.current.version
-            if (
-                isinstance(await self.read(), Err)
-                or self._store.current.version > version
-            ):
+            revision = await self.read()
+            # A change that is on its way at this moment only costs a new watch.
+            if isinstance(revision, Err) or revision.value > self._watched_revision:
                 watch.cancel()
