Test real admin processes with an outage, and the host list

Cause: the fakes cannot show that signals, sockets and the command line's exit codes work together.

The process test loses the answer of the first ticket, starts an admin process while the key-value service cuts every connection, and stops one while a call is in flight. The plan commands are now part of the command line.

--- a/src/mustardfront/programs/cli/_main.py
+++ b/src/mustardfront/programs/cli/_main.py
@@ -9,6 +9,7 @@
 from mustardfront.codes import Code
 from mustardfront.programs.cli._client import Api
 from mustardfront.programs.cli._output import fail, show, table, value_or_fail
+from mustardfront.programs.cli._plan import plan
 from mustardfront.programs.cli._tickets import drain, ticket_group
 from mustardfront.results import Ok
 from mustardfront.settings import URL, env_name
@@ -101,3 +102,4 @@
 
 main.add_command(ticket_group)
 main.add_command(drain)
+main.add_command(plan)
--- a/src/mustardfront_standins/hosts.py
+++ b/src/mustardfront_standins/hosts.py
@@ -111,7 +111,8 @@
         app = make_app(HostTable(lag_s))
         binds = await nursery.start(hypercorn.trio.serve, app, config)
         address = binds[0].removeprefix("http://")
-        click.echo(json.dumps({"address": address, "url": f"http://{address}"}))
+        ready = {"ready": True, "address": address, "url": f"http://{address}"}
+        click.echo(json.dumps(ready))
 
 
 @click.command()
--- /dev/null
+++ b/tests/test_config_processes.py
@@ -0,0 +1,143 @@
+"""Real admin processes and the command line, with an outage during a start."""
+
+import json
+import signal
+from contextlib import AsyncExitStack
+
+import httpcore
+import trio
+
+from running import KEY, START_LIMIT_S, STEP_LIMIT_S, program, standin
+
+TICKET = {
+    "ticket": 1,
+    "author": "operator",
+    "reason": "first hosts",
+    "set": {
+        "places": {"pa": {"region": "bayern"}},
+        "hosts": {"h1": {"place": "pa"}},
+    },
+}
+
+
+def call(method: str, url: str, data=None):
+    body = json.dumps(data).encode() if data is not None else None
+    timeout = dict.fromkeys(("connect", "read", "write", "pool"), STEP_LIMIT_S)
+    answer = httpcore.request(
+        method, url, content=body, extensions={"timeout": timeout}
+    )
+    return answer.status, json.loads(answer.content)
+
+
+class Site:
+    """Stand-ins of the platform, admin processes, and the command line."""
+
+    def __init__(self, stack: AsyncExitStack, kv: str, hosts: str, key_file) -> None:
+        self.stack, self.kv, self.hosts, self.key_file = stack, kv, hosts, key_file
+        self.admins: list[str] = []
+
+    async def admin(self, name: str):
+        args = {
+            "listen": "127.0.0.1:0",
+            "peer-listen": "127.0.0.1:0",
+            "host": name,
+            "place": "pa",
+            "kv": self.kv,
+            "host-list": self.hosts,
+            "key-file": str(self.key_file),
+        }
+        flags = [part for key, value in args.items() for part in (f"--{key}", value)]
+        started = await self.stack.enter_async_context(
+            program("mustardfront.programs.admin", *flags)
+        )
+        with trio.fail_after(START_LIMIT_S):
+            ready = await started.line_with("message_type", "process-ready")
+        url = f"http://{ready['addresses']['listen']}"
+        entry = {"place": "pa", "role": "admin", "address": ready["addresses"]["peer"]}
+        await self.call("PUT", f"{self.hosts}/v1/hosts/{name}", entry)
+        return started, url, ready
+
+    async def call(self, method: str, url: str, data=None):
+        return await trio.to_thread.run_sync(call, method, url, data)
+
+    async def cli(self, *args: str):
+        """Run a command and return its exit code and JSON output."""
+        flags = [part for url in self.admins for part in ("--admin", url)]
+        async with program("mustardfront.programs.cli", *flags, *args, "--json") as run:
+            code = await run.wait()
+            with trio.fail_after(STEP_LIMIT_S):
+                while code != 2 and not run.lines:
+                    await run._grew.wait()
+        return code, run.lines[-1] if run.lines else None
+
+    async def until_in_force(self, version: int, processes: int) -> None:
+        with trio.fail_after(STEP_LIMIT_S):
+            while True:
+                _status, seen = await self.call("GET", f"{self.admins[0]}/v1/status")
+                versions = [row["version"] for row in seen["processes"]]
+                if versions == [version] * processes:
+                    return
+                await trio.sleep(0.1)
+
+
+async def test_outage_while_a_process_starts(tmp_path):
+    # Guards guarantee 7 with real processes: what was accepted stays in force, an
+    # outage stops no start that has peers, and each exit code says what happened.
+    key_file, ticket_file = tmp_path / "key", tmp_path / "ticket.json"
+    key_file.write_bytes(KEY)
+    ticket_file.write_text(json.dumps(TICKET))
+    async with AsyncExitStack() as stack:
+        _kv, kv = await stack.enter_async_context(standin("kv"))
+        _hosts, hosts = await stack.enter_async_context(standin("hosts"))
+        site = Site(stack, kv["url"], hosts["url"], key_file)
+        for name in ("a1", "a2", "a3"):
+            _program, url, _ready = await site.admin(name)
+            site.admins.append(url)
+        assert (await site.cli("ticket", "check", str(ticket_file)))[0] == 0
+        # The first write's answer is lost, so its outcome has to be read back.
+        faults = f"{kv['url']}/control/faults"
+        await site.call("POST", faults, {"lose_answers": 1})
+        code, accepted = await site.cli("ticket", "submit", str(ticket_file))
+        assert (code, accepted["number"]) == (0, 1)
+        code, refused = await site.cli("ticket", "show", "2")
+        assert (code, refused["error"]["name"]) == (1, "TICKET_NOT_FOUND")
+        code, drained = await site.cli("drain", "h1")
+        assert (code, drained["number"]) == (0, 2)
+        await site.until_in_force(2, processes=3)
+
+        await site.call("POST", faults, {"outage": "cut"})
+        late, late_url, ready = await site.admin("a4")
+        assert ready["synced"] and ready["config_version"] == 2
+        assert (await site.call("GET", f"{late_url}/readyz"))[0] == 200
+        assert (await site.cli("drain", "h1"))[0] == 3
+        await site.call("POST", faults, {"outage": "", "delay_ms": 1_200})
+        # This call needs two slow reads, so it outlasts the readiness grace.
+        async with trio.open_nursery() as nursery:
+            answers: list[tuple] = []
+
+            async def ask_slowly() -> None:
+                answers.append(await site.call("GET", f"{late_url}/v1/tickets"))
+
+            nursery.start_soon(ask_slowly)
+            await trio.sleep(0.5)
+            late.signal(signal.SIGTERM)
+            late.signal(signal.SIGTERM)
+            assert await late.wait() == 0
+        assert answers[0][0] == 200 and len(answers[0][1]["tickets"]) == 2
+        await site.call("DELETE", f"{hosts['url']}/v1/hosts/a4")
+
+        await site.call("POST", faults, {"delay_ms": 0})
+        code, again = await site.cli("ticket", "replay", "1")
+        assert (code, again["number"]) == (0, 3)
+        await site.until_in_force(3, processes=3)
+        code, tickets = await site.cli("ticket", "list")
+        assert [ticket["ticket"] for ticket in tickets["tickets"]] == [3, 2, 1]
+
+
+async def test_submission_with_no_admin_running_is_unreachable(tmp_path):
+    ticket_file = tmp_path / "ticket.json"
+    ticket_file.write_text(json.dumps(TICKET))
+    site = Site(AsyncExitStack(), "", "", "")
+    site.admins = ["http://127.0.0.1:1"]
+    assert (await site.cli("ticket", "submit", str(ticket_file)))[0] == 3
+    assert (await site.cli("ticket", "submit", str(tmp_path / "none.json")))[0] == 2
