--- a/src/mustardfront/coordination/config/_spread.py
+++ b/src/mustardfront/coordination/config/_spread.py
@@ -73,9 +73,7 @@
         self._told: dict[PeerConnection, int] = {}
         self._wake = trio.Event()
         self._heard_more = trio.Event()
-        self._heartbeat = Heartbeat(
-            hub, lambda: store.current.version, self._note_version
-        )
+        self._heartbeat = Heartbeat(hub, self._version_to_tell, self._note_version)
         self.synced = trio.Event()
         hub.add_greeting(self._greet)
         hub.add_handler(self._handle)
@@ -129,6 +127,7 @@
                 await trio.sleep(backoff_s(failures, self._rng))
             nursery.cancel_scope.cancel()
         self.synced.set()
+        self._tell_all()
 
     async def _sync_from_peers(self, start: trio.CancelScope) -> None:
         while not self._has_peers_version():
@@ -157,8 +156,16 @@
     async def _greet(self, conn: PeerConnection) -> None:
         self._offer_to(conn)
 
+    def _version_to_tell(self) -> int:
+        """Return the version in force, or 0 before the start is complete.
+
+        A starting process may hold an old version; if it told that one, others that
+        start during the same outage could take it for one of three.
+        """
+        return self._store.current.version if self.synced.is_set() else 0
+
     def _offer_to(self, conn: PeerConnection) -> None:
-        version = self._store.current.version
+        version = self._version_to_tell()
         if conn.send_nowait(ConfigOffer(version)):
             self._told[conn] = version
 
@@ -166,20 +173,24 @@
         """Offer each new version to every peer that may not have it."""
         while True:
             version = self._store.current.version
-            self._wake.set()
-            self._heard_more.set()
-            live = self._hub.connections
-            for known in (self._heard, self._told):
-                for conn in known.keys() - set(live):
-                    del known[conn]
-            for conn in live:
-                told = max(self._told.get(conn, -1), self._heard.get(conn, -1))
-                if told < version:
-                    self._offer_to(conn)
+            self._tell_all()
             # A full queue refuses an offer, so the round is repeated without a change.
             with trio.move_on_after(OFFER_REPEAT_S):
                 await self._store.wait_newer(version)
 
+    def _tell_all(self) -> None:
+        """Offer the version to each peer that may not have it."""
+        self._wake.set()
+        self._heard_more.set()
+        live = self._hub.connections
+        for known in (self._heard, self._told):
+            for conn in known.keys() - set(live):
+                del known[conn]
+        for conn in live:
+            told = max(self._told.get(conn, -1), self._heard.get(conn, -1))
+            if told < self._version_to_tell():
+                self._offer_to(conn)
+
     def _note_version(self, conn: PeerConnection, version: int) -> None:
         self._heard[conn] = version
         self._heard_more.set()
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -166,6 +166,25 @@
         assert alone.store.current.version == 1
 
 
+async def test_starting_processes_do_not_count_for_each_other(autojump_clock):
+    # specs/config_spread.py, defect "starting-peers-count": they may all be behind.
+    fleet = Fleet(5)
+    async with fleet.running() as nursery:
+        await trio.sleep(1)
+        await submit(fleet.kv, 1)
+        await wait_version(fleet, 1)
+        fleet.kv.set_down(True)
+        for index in range(3):
+            fleet.stop(index)
+        again = [fleet.start(nursery, index) for index in range(3)]
+        await trio.sleep(60)
+        assert not any(member.spread.synced.is_set() for member in again)
+        fleet.kv.set_down(False)
+        with trio.fail_after(IN_FORCE_S):
+            for member in again:
+                await member.spread.synced.wait()
+
+
 async def test_process_without_host_list_reads_the_service_now_and_then(autojump_clock):
     fleet = Fleet(1)
     fleet.hosts_known = False
