--- a/src/mustardfront/state/_config.py
+++ b/src/mustardfront/state/_config.py
@@ -77,7 +77,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Group:
-    """An expert group: its ranks' upstreams in rank order, the first is its front."""
+    """An expert group: its ranks' upstreams in rank order, the first is its front.
+
+    ``store_rate`` is what the weight store gives the whole group, in bytes a second.
+    """
 
     service: str
     ranks: tuple[str, ...]
@@ -85,6 +88,7 @@
     experts: int = 1
     slots_per_rank: int = 1
     expert_bytes: int = 1
+    store_rate: float = 1e9
     skew_weight: float = 1.0
     cost_weight: float = 1.0
 
--- /dev/null
+++ b/src/mustardfront_standins/weights/__init__.py
@@ -0,0 +1,5 @@
+"""Stand-in of the platform's weight store."""
+
+from mustardfront_standins.weights._main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/mustardfront_standins/weights/__main__.py
@@ -0,0 +1,5 @@
+"""Run the weight store stand-in."""
+
+from mustardfront_standins.weights import main
+
+main()
