Run the configuration's process tests on the shared launcher

Ruled out: keeping both launchers, which read the same log lines in the same way. Before: tests stopped at an import error.

--- a/tests/test_config_processes.py
+++ b/tests/test_config_processes.py
@@ -2,12 +2,13 @@
 
 import json
 import signal
-from contextlib import AsyncExitStack
+import sys
 
 import httpcore
 import trio
 
-from running import KEY, START_LIMIT_S, STEP_LIMIT_S, program, standin
+from mustardfront_standins.fleet import Fleet
+from running import KEY, STEP_LIMIT_S, exit_code
 
 TICKET = {
     "ticket": 1,
@@ -32,8 +33,8 @@
 class Site:
     """Stand-ins of the platform, admin processes, and the command line."""
 
-    def __init__(self, stack: AsyncExitStack, kv: str, hosts: str, key_file) -> None:
-        self.stack, self.kv, self.hosts, self.key_file = stack, kv, hosts, key_file
+    def __init__(self, fleet: Fleet, kv: str, hosts: str, key_file) -> None:
+        self.fleet, self.kv, self.hosts, self.key_file = fleet, kv, hosts, key_file
         self.admins: list[str] = []
 
     async def admin(self, name: str):
@@ -47,11 +48,9 @@
             "key-file": str(self.key_file),
         }
         flags = [part for key, value in args.items() for part in (f"--{key}", value)]
-        started = await self.stack.enter_async_context(
-            program("mustardfront.programs.admin", *flags)
-        )
-        with trio.fail_after(START_LIMIT_S):
-            ready = await started.line_with("message_type", "process-ready")
+        started = await self.fleet.start(name, "mustardfront.programs.admin", *flags)
+        with trio.fail_after(STEP_LIMIT_S):
+            ready = await started.wait_event("process-ready")
         url = f"http://{ready['addresses']['listen']}"
         entry = {"place": "pa", "role": "admin", "address": ready["addresses"]["peer"]}
         await self.call("PUT", f"{self.hosts}/v1/hosts/{name}", entry)
@@ -63,12 +62,17 @@
     async def cli(self, *args: str):
         """Run a command and return its exit code and JSON output."""
         flags = [part for url in self.admins for part in ("--admin", url)]
-        async with program("mustardfront.programs.cli", *flags, *args, "--json") as run:
-            code = await run.wait()
-            with trio.fail_after(STEP_LIMIT_S):
-                while code != 2 and not run.lines:
-                    await run._grew.wait()
-        return code, run.lines[-1] if run.lines else None
+        with trio.fail_after(STEP_LIMIT_S):
+            command = [sys.executable, "-m", "mustardfront.programs.cli"]
+            run = await trio.run_process(
+                [*command, *flags, *args, "--json"],
+                capture_stdout=True,
+                capture_stderr=True,
+                check=False,
+            )
+        lines = (run.stdout + run.stderr).splitlines()
+        found = [json.loads(line) for line in lines if line.startswith(b"{")]
+        return run.returncode, found[-1] if found else None
 
     async def until_in_force(self, version: int, processes: int) -> None:
         with trio.fail_after(STEP_LIMIT_S):
@@ -86,10 +90,10 @@
     key_file, ticket_file = tmp_path / "key", tmp_path / "ticket.json"
     key_file.write_bytes(KEY)
     ticket_file.write_text(json.dumps(TICKET))
-    async with AsyncExitStack() as stack:
-        _kv, kv = await stack.enter_async_context(standin("kv"))
-        _hosts, hosts = await stack.enter_async_context(standin("hosts"))
-        site = Site(stack, kv["url"], hosts["url"], key_file)
+    async with Fleet() as fleet:
+        kv = (await fleet.start_standin("kv", "kv")).ready
+        hosts = (await fleet.start_standin("hosts", "hosts")).ready
+        site = Site(fleet, kv["url"], hosts["url"], key_file)
         for name in ("a1", "a2", "a3"):
             _program, url, _ready = await site.admin(name)
             site.admins.append(url)
@@ -120,9 +124,9 @@
 
             nursery.start_soon(ask_slowly)
             await trio.sleep(0.5)
-            late.signal(signal.SIGTERM)
-            late.signal(signal.SIGTERM)
-            assert await late.wait() == 0
+            late.send_signal(signal.SIGTERM)
+            late.send_signal(signal.SIGTERM)
+            assert await exit_code(late) == 0
         assert answers[0][0] == 200 and len(answers[0][1]["tickets"]) == 2
         await site.call("DELETE", f"{hosts['url']}/v1/hosts/a4")
 
@@ -137,7 +141,7 @@
 async def test_submission_with_no_admin_running_is_unreachable(tmp_path):
     ticket_file = tmp_path / "ticket.json"
     ticket_file.write_text(json.dumps(TICKET))
-    site = Site(AsyncExitStack(), "", "", "")
+    site = Site(Fleet(), "", "", "")
     site.admins = ["http://127.0.0.1:1"]
     assert (await site.cli("ticket", "submit", str(ticket_file)))[0] == 3
     assert (await site.cli("ticket", "submit", str(tmp_path / "none.json")))[0] == 2
