--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -4,23 +4,23 @@
 
 import trio
 import trio.testing
+from bench._fleet import PLACES, Fleet
+from bench._memory_kv import MemoryKv
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from kv_fake import FakeKv
 from mustardfront.coordination.config import submit_ticket
 from mustardfront.coordination.config._push import TicketLog, apply_push
 from mustardfront.coordination.config._watch import WATCHERS_PER_PLACE
 from mustardfront.protocol import ConfigPull
 from mustardfront.results import Err, Ok
 from mustardfront.state import Config, Place, Ticket, apply_ticket, config_to_bytes
-from spread_fake import PLACES, Fleet
 
 # The target is 12 s until a change is in force everywhere.
 IN_FORCE_S = 12.0
 
 
-async def submit(kv: FakeKv, number: int) -> None:
+async def submit(kv: MemoryKv, number: int) -> None:
     ticket = Ticket(number, "a", "r", {"places": {f"p{number}": Place("region")}})
     assert isinstance(await submit_ticket(kv, ticket), Ok)
 
@@ -76,7 +76,7 @@
     async with fleet.running():
         await trio.sleep(1)
         watches = fleet.kv.calls["watch"]
-        fleet.kv._notify = lambda: None
+        fleet.kv.is_watch_silent = True
         await submit(fleet.kv, 1)
         await wait_version(fleet, 1)
         await trio.sleep(10)
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -6,10 +6,10 @@
 import pytest
 import trio
 import trio.testing
+from bench._memory_kv import MemoryKv
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from kv_fake import FakeKv
 from mustardfront.codes import Code
 from mustardfront.coordination.config import _records as records
 from mustardfront.coordination.config import (
@@ -89,7 +89,7 @@
 
 
 async def test_accepted_tickets_can_be_read_back(autojump_clock):
-    kv = FakeKv()
+    kv = MemoryKv()
     for number in range(1, 24):
         result = await submit_ticket(kv, place_ticket(number, f"p{number}"))
         assert isinstance(result, Ok) and result.value.number == number
@@ -103,7 +103,7 @@
 
 
 async def test_wrong_order_and_references_write_nothing(autojump_clock):
-    kv = FakeKv()
+    kv = MemoryKv()
     await submit_ticket(kv, place_ticket(1, "p1"))
     before = dict(kv.data)
     bad = Ticket(2, "a", "r", remove={"places": ("nowhere",)})
@@ -123,7 +123,7 @@
 ):
     monkeypatch.setattr(records, "CHUNK_BYTES", 100)
     monkeypatch.setattr(records, "CHUNKS_MAX", 8)
-    kv = FakeKv()
+    kv = MemoryKv()
     names = [random.Random(seed).randbytes(10).hex() for seed in range(12)]
     places = {name: Place(name) for name in names}
     assert isinstance(
@@ -139,13 +139,13 @@
 
 async def test_snapshot_that_does_not_fit_is_refused(autojump_clock, monkeypatch):
     monkeypatch.setattr(records, "CHUNK_BYTES", 10)
-    result = await submit_ticket(FakeKv(), place_ticket(1, "p1"))
+    result = await submit_ticket(MemoryKv(), place_ticket(1, "p1"))
     assert isinstance(result, Err) and result.code is Code.TICKET_TOO_LARGE
 
 
 @pytest.mark.parametrize("fault", ["lost", "dropped"])
 async def test_lost_answer_is_resolved_by_reading_back(autojump_clock, fault):
-    kv = FakeKv()
+    kv = MemoryKv()
     faults = iter([fault])
     kv.fault = lambda kind: next(faults, "") if kind == "txn" else ""
     result = await submit_ticket(kv, place_ticket(1, "p1"))
@@ -154,7 +154,7 @@
 
 
 async def test_outage_after_a_lost_answer_is_reported_as_unknown(autojump_clock):
-    kv = FakeKv()
+    kv = MemoryKv()
 
     def fault(kind: str) -> str:
         if kind == "txn":
@@ -171,7 +171,7 @@
 
 
 async def test_outage_before_the_write_is_surely_not_accepted(autojump_clock):
-    kv = FakeKv()
+    kv = MemoryKv()
     kv.fault = lambda kind: "down" if kind == "txn" else ""
     result = await submit_ticket(kv, place_ticket(1, "p1"))
     assert isinstance(result, Err) and result.code is Code.STORE_UNAVAILABLE
@@ -192,7 +192,7 @@
     # Guards guarantee 7: each "accepted" is in the history for good, each refusal is
     # not, and both operators read one history without gaps.
     async def main() -> None:
-        kv = FakeKv()
+        kv = MemoryKv()
         kv.delay_s = 0.01
         planned = iter(faults)
         kv.fault = lambda _kind: next(planned, "")
