Ping from the side that dialled, and forgive a pause of the own process

Cause: both sides pinged; a sidecar with 400 entries' connections would send and get about 28 KB/s of pings at the target, over its 6 KB/s. And after a pause of 6 s or more a process took all its peers for silent and closed connections whose messages it had not read yet, with requests in flight. Ruled out: skipping one round after a pause, because the peers that were paused too are quiet for another round; the test showed this.

The accepting side pings after 20 s and gives up after 60 s.

--- a/src/mustardfront/coordination/peers/_heartbeat.py
+++ b/src/mustardfront/coordination/peers/_heartbeat.py
@@ -4,6 +4,7 @@
 
 import itertools
 from collections.abc import Callable
+from typing import Final
 
 import trio
 
@@ -14,6 +15,11 @@
 from mustardfront.protocol import Message, PeerConnection, Ping, Pong
 from mustardfront.results import Err
 
+# The side that dialled depends on its peer and pings it; the other side only frees
+# what a lost dialler left. A sidecar has 400 entries' connections at the target.
+ACCEPTED_PING_INTERVAL_S: Final = 20.0
+ACCEPTED_SILENCE_S: Final = 60.0
+
 
 class Heartbeat:
     """Pings the peers of a hub and answers their pings.
@@ -44,19 +50,31 @@
 
     async def run(self) -> None:
         """Ping quiet peers and close silent ones, until cancelled."""
+        ticked_s = trio.current_time()
         while True:
             await trio.sleep(PING_INTERVAL_S)
             now = trio.current_time()
+            paused = now - ticked_s > 2 * PING_INTERVAL_S
+            ticked_s = now
             for conn in self._hub.connections:
-                quiet_s = now - conn.last_received_s
-                if quiet_s >= PEER_SILENCE_S:
-                    events.log(
-                        events.Event.PEER_SILENT,
-                        peer=conn.remote.instance,
-                        peer_host=conn.remote.host,
-                        silent_s=round(quiet_s, 1),
-                    )
-                    text = f"no message for {quiet_s:.1f} s"
-                    self._hub.close(conn, Err(Code.PEER_LOST, text))
-                elif quiet_s >= PING_INTERVAL_S:
-                    conn.send_nowait(Ping(next(self._nonces), self._version()))
+                # A pause of this process says nothing about its peers, so their
+                # silence is counted from its end.
+                if paused:
+                    conn.last_received_s = now
+                self._check(conn, now)
+
+    def _check(self, conn: PeerConnection, now: float) -> None:
+        quiet_s = now - conn.last_received_s
+        interval_s = PING_INTERVAL_S if conn.dialled else ACCEPTED_PING_INTERVAL_S
+        silence_s = PEER_SILENCE_S if conn.dialled else ACCEPTED_SILENCE_S
+        if quiet_s >= silence_s:
+            events.log(
+                events.Event.PEER_SILENT,
+                peer=conn.remote.instance,
+                host=conn.remote.host,
+                silent_s=round(quiet_s, 1),
+            )
+            text = f"no message for {quiet_s:.1f} s"
+            self._hub.close(conn, Err(Code.PEER_LOST, text))
+        elif quiet_s >= interval_s:
+            conn.send_nowait(Ping(next(self._nonces), self._version()))
--- a/src/mustardfront/protocol/_peer.py
+++ b/src/mustardfront/protocol/_peer.py
@@ -41,15 +41,21 @@
 
 
 class PeerConnection:
-    """A connection after its handshake: a bounded send queue and a receive call."""
+    """A connection after its handshake: a bounded send queue and a receive call.
+
+    ``dialled`` is true when this process opened it.
+    """
 
     def __init__(
         self,
         frames: FrameStream,
         remote: Hello,
         queue: trio.MemorySendChannel[Message],
+        *,
+        dialled: bool,
     ) -> None:
         self.remote = remote
+        self.dialled = dialled
         self._frames = frames
         self._queue = queue
         self.closed: Err | None = None
@@ -136,7 +142,7 @@
             yield hello
             return
         send, receive = trio.open_memory_channel[Message](SEND_QUEUE_MESSAGES)
-        conn = PeerConnection(frames, hello.value, send)
+        conn = PeerConnection(frames, hello.value, send, dialled=dialled)
         events.log(
             events.Event.PEER_CONNECTED,
             peer=hello.value.instance,
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -9,6 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from mustardfront import events
 from mustardfront.coordination.config import submit_ticket
 from mustardfront.coordination.config._push import TicketLog, apply_push
 from mustardfront.coordination.config._watch import WATCHERS_PER_PLACE
@@ -25,6 +26,12 @@
     assert isinstance(await submit_ticket(kv, ticket), Ok)
 
 
+async def ignore(_conn, _message) -> bool:
+    """Stand for a frozen process: read no message after this one."""
+    await trio.sleep_forever()
+    return True
+
+
 async def wait_version(fleet: Fleet, version: int) -> None:
     with trio.fail_after(IN_FORCE_S):
         for member in list(fleet.members.values()):
@@ -91,10 +98,6 @@
         for index in (1, 4):
             member = fleet.members[index]
 
-            async def ignore(_conn, _message) -> bool:
-                await trio.sleep_forever()
-                return True
-
             member.hub._handlers.insert(0, ignore)
             if not member.spread.is_watching:
                 del fleet.members[index]
@@ -105,6 +108,31 @@
                     await member.store.wait_newer(0)
 
 
+async def test_only_a_silent_peer_is_left(autojump_clock):
+    silent: list[str] = []
+
+    def listen(event: events.Event, fields: dict) -> None:
+        if event is events.Event.PEER_SILENT:
+            silent.append(fields["host"])
+
+    fleet = Fleet(6)
+    events.add_listener(listen)
+    try:
+        async with fleet.running():
+            await trio.sleep(5)
+            # All processes were paused: no peer is silent, its messages are unread.
+            autojump_clock.jump(30)
+            await trio.sleep(10)
+            assert not silent
+            fleet.members[0].hub._handlers.insert(0, ignore)
+            await trio.sleep(20)
+            assert "h0" in silent
+            # The silent one hears nothing either, and may take all others for silent.
+            assert all(m.hub.connections for m in fleet.members.values())
+    finally:
+        events.remove_listener(listen)
+
+
 async def test_start_during_an_outage_takes_the_newest_of_three_peers(autojump_clock):
     fleet = Fleet(10)
     async with fleet.running() as nursery:
