Correct late reports with own requests; bound prefix load by utilisation

Cause: reports that are a second late hide what other entries sent meanwhile, and a bound relative to the mean lets requests queue while other groups have room.

--- a/bench/_sim.py
+++ b/bench/_sim.py
@@ -10,6 +10,7 @@
 
 import trio
 import trio.testing
+from trio._core import _run
 
 from bench._engine import Engine, EngineModel, Work
 from mustardfront.codes import Code
@@ -118,7 +119,7 @@
     def load_peak(self) -> float:
         """Return the most loaded group's mean load over the mean of all groups."""
         totals = [sum(group) for group in zip(*self.loads, strict=True)]
-        return max(totals) * len(totals) / max(1, sum(totals))
+        return float(max(totals) * len(totals) / max(1, sum(totals)))
 
 
 def percentile(values: Sequence[float], quantile: float) -> float:
@@ -316,6 +317,9 @@
 ) -> Result:
     """Run a scenario under a policy, by name, on a clock of its own."""
     make = BASELINES.get(policy, lambda: default_policy)
+    # Trio shuffles tasks that are due together; a fixed order makes runs repeatable.
+    _run._hypothesis_plugin_setup()
+    _run._r.seed(seed)
     return trio.run(
         _main,
         scenario,
--- a/src/mustardfront/coordination/routing/_knobs.py
+++ b/src/mustardfront/coordination/routing/_knobs.py
@@ -13,17 +13,21 @@
     report_stale_s: float = 5.0
     # Reports are taken as this old: own requests started since are added to them.
     report_lag_s: float = 1.0
+    # Weight of the load estimated from own requests; the rest is the late report.
+    own_blend_ratio: float = 0.5
     latency_half_life_s: float = 5.0
     # An upstream that is slower than the median by less is not treated as slow, as
     # request lengths and cache hits alone make latencies differ.
     slow_ratio: float = 2.0
     slow_ratio_max: float = 10.0
     choices_count: int = 2
-    prefix_load_bound_ratio: float = 1.25
-    # Upstreams tried in a prefix's order before the request goes anywhere.
-    prefix_tries_count: int = 4
-    spill_load_ratio: float = 1.25
-    # A place or region that is less utilised never sends requests elsewhere.
+    prefix_load_bound_ratio: float = 1.2
+    # Above this utilisation a request would wait, which costs more than a miss.
+    prefix_utilisation_max: float = 1.05
+    # Upstreams tried in a prefix's order; each of them comes to cache the prefix.
+    prefix_tries_count: int = 3
+    spill_load_ratio: float = 1.1
+    # A region that is less utilised never sends requests elsewhere.
     spill_utilisation_min: float = 0.5
     slow_start_s: float = 10.0
     slow_start_weight_min: float = 0.1
--- a/src/mustardfront/coordination/routing/_policy.py
+++ b/src/mustardfront/coordination/routing/_policy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 from collections.abc import Callable, Sequence
 from typing import TypeAlias
@@ -27,8 +28,11 @@
         now, knobs = table.clock(), table.knobs
         service = states[0].service
         table.compare_speeds(service)
-        own_share = table.own_share(service)
-        self.loads = {state: state.load(now, own_share, knobs) for state in states}
+        shares = table.own_shares(service)
+        self.loads = {
+            state: state.load(now, shares.get(state.place, 0.0), knobs)
+            for state in states
+        }
         self.capacities = {state: state.capacity(now, knobs) for state in states}
 
     def utilisation(self, states: Sequence[UpstreamState]) -> float:
@@ -49,65 +53,86 @@
     view = _View(table, capable)
     if req.prefix:
         # A cache hit saves far more time than staying within the place does.
-        nearby, _ = _nearest(table, capable, req.place, view, with_place=False)
-        choice = _by_prefix(table, nearby, req.prefix, view)
-        if choice is not None:
-            return choice
-        return _by_choices(table, nearby, view, "prefix-over-bound")
-    nearby, reason = _nearest(table, capable, req.place, view, with_place=True)
-    return _by_choices(table, nearby, view, reason)
+        region = table.region_of(req.place)
+        near = [state for state in capable if state.region == region]
+        if not near or _is_overloaded(table, near, capable, view):
+            near = list(capable)
+        return _by_prefix(table, near, req.prefix, view)
+    return _by_choices(table, capable, req.place, view)
 
 
-def _nearest(
+def _is_overloaded(
     table: UpstreamTable,
+    near: Sequence[UpstreamState],
     capable: Sequence[UpstreamState],
-    place: str,
     view: _View,
-    *,
-    with_place: bool,
-) -> tuple[Sequence[UpstreamState], str]:
-    """Return the upstreams of the place or region, unless it is overloaded."""
+) -> bool:
+    """Say whether the near upstreams are utilised far more than all of them are."""
     knobs = table.knobs
-    allowed = max(
-        knobs.spill_load_ratio * view.utilisation(capable), knobs.spill_utilisation_min
-    )
-    region = table.region_of(place)
-    near = [state for state in capable if state.region == region]
-    if with_place:
-        same = [state for state in near if state.place == place]
-        if same and view.utilisation(same) <= allowed:
-            return same, "same-place"
-    if near and view.utilisation(near) <= allowed:
-        return near, "same-region"
-    return capable, "any-region"
+    used = view.utilisation(near)
+    if used <= knobs.spill_utilisation_min:
+        return False
+    return used > knobs.spill_load_ratio * view.utilisation(capable)
 
 
 def _by_prefix(
     table: UpstreamTable, states: Sequence[UpstreamState], prefix: int, view: _View
-) -> Choice | None:
-    """Return the first upstream in the prefix's order that is within the bound."""
+) -> Choice:
+    """Return the first upstream in the prefix's order that is within the bound.
+
+    Only the first few are tried, so that each prefix is cached in few places. When
+    all of them are over the bound, the least utilised of them is chosen.
+    """
+    knobs = table.knobs
     capacity = sum(view.capacities[state] for state in states)
-    total = sum(view.loads[state] for state in states) + 1
-    bound = table.knobs.prefix_load_bound_ratio * total / capacity
-    order = sorted(
+    mean = (sum(view.loads[state] for state in states) + 1) / capacity
+    bound = min(
+        knobs.prefix_load_bound_ratio * mean, max(mean, knobs.prefix_utilisation_max)
+    )
+    order = heapq.nlargest(
+        knobs.prefix_tries_count,
         states,
         key=lambda state: rendezvous_score(prefix, state.name_hash),
-        reverse=True,
     )
     tried: list[Candidate] = []
-    for state in order[: table.knobs.prefix_tries_count]:
+    for state in order:
         tried.append(view.candidate(state))
         if view.loads[state] + 1 <= math.ceil(bound * view.capacities[state]):
             return state, f"prefix-{len(tried)}", tuple(tried)
-    return None
+    best = min(range(len(order)), key=lambda index: tried[index].score)
+    return order[best], "prefix-over-bound", tuple(tried)
 
 
 def _by_choices(
-    table: UpstreamTable, states: Sequence[UpstreamState], view: _View, reason: str
+    table: UpstreamTable, capable: Sequence[UpstreamState], place: str, view: _View
 ) -> Choice:
-    """Return the least utilised of a few random upstreams."""
-    count = min(table.knobs.choices_count, len(states))
-    picked = table.rng.sample(states, count)
-    compared = [view.candidate(state) for state in picked]
-    best = min(range(count), key=lambda index: compared[index].score)
-    return picked[best], reason, tuple(compared)
+    """Return the less utilised of a few random upstreams, the nearest if it has room.
+
+    A choice that would have to queue is compared with one from further away, and
+    left when that is clearly better.
+    """
+    knobs = table.knobs
+    region = table.region_of(place)
+    near = [state for state in capable if state.region == region]
+    same = [state for state in near if state.place == place]
+    chosen, chosen_score, reason = capable[0], math.inf, ""
+    compared: list[Candidate] = []
+    narrower = 0
+    for tier, tier_reason in (
+        (same, "same-place"),
+        (near, "same-region"),
+        (capable, "any-region"),
+    ):
+        # The tiers are nested, so one of the same size holds the same upstreams.
+        if len(tier) == narrower:
+            continue
+        narrower = len(tier)
+        picked = table.rng.sample(tier, min(knobs.choices_count, len(tier)))
+        found = [view.candidate(state) for state in picked]
+        compared += found
+        best = min(range(len(found)), key=lambda index: found[index].score)
+        if found[best].score * knobs.spill_load_ratio < chosen_score:
+            chosen, chosen_score, reason = picked[best], found[best].score, tier_reason
+        if chosen_score <= 1.0:
+            break
+    return chosen, reason, tuple(compared)
--- a/src/mustardfront/coordination/routing/_state.py
+++ b/src/mustardfront/coordination/routing/_state.py
@@ -105,12 +105,19 @@
     def load(self, now: float, own_share: float, knobs: RoutingKnobs) -> float:
         """Estimate all requests at the upstream, of every entry.
 
-        A fresh report is corrected by the change of own requests since it was made.
-        Without one, own requests are taken as ``own_share`` of all.
+        One estimate is the report, corrected by the change of own requests since it
+        was made; it is late. The other takes own requests as ``own_share`` of all;
+        it is fresh but noisy. Without a fresh report, only the second counts.
+        ``own_share`` is 0 when not known; own requests are then all that is known.
         """
+        scaled = self.in_flight / own_share if own_share else self.in_flight
         if now - self.report_at > knobs.report_stale_s:
-            return self.in_flight / own_share
-        return max(self.in_flight, self.report_load + self.in_flight - self.report_own)
+            return scaled
+        reported = max(
+            self.in_flight, self.report_load + self.in_flight - self.report_own
+        )
+        blend = knobs.own_blend_ratio if own_share else 0.0
+        return blend * scaled + (1 - blend) * reported
 
     def capacity(self, now: float, knobs: RoutingKnobs) -> float:
         """Return the load it can carry, lowered while it is slow or returning."""
--- a/src/mustardfront/coordination/routing/_table.py
+++ b/src/mustardfront/coordination/routing/_table.py
@@ -15,8 +15,8 @@
 
 # States in a load report of an upstream that takes new requests.
 READY_STATES = frozenset({"", "ready", "live", "up", "active"})
-# Speeds of a service's upstreams are compared this often.
-_SPEED_INTERVAL_S = 0.25
+# Speeds and shares of a service's upstreams are computed this often.
+_COMPARE_INTERVAL_S = 0.25
 # Differences of less than this many seconds do not make an upstream slow.
 _SPEED_FLOOR_S = 0.01
 
@@ -24,11 +24,14 @@
 class _Service:
     """A service's upstreams in name order, and what is computed over all of them."""
 
-    __slots__ = ("own_share", "speed_at", "states")
+    __slots__ = ("own_shares", "shares_at", "speed_at", "states")
 
-    def __init__(self, states: tuple[UpstreamState, ...], own_share: float) -> None:
+    def __init__(
+        self, states: tuple[UpstreamState, ...], own_shares: dict[str, float]
+    ) -> None:
         self.states = states
-        self.own_share = own_share
+        self.own_shares = own_shares
+        self.shares_at = NEVER
         self.speed_at = NEVER
 
 
@@ -68,7 +71,7 @@
                 states[name] = state
             old = self._services.get(service)
             services[service] = _Service(
-                tuple(states[name] for name in names), old.own_share if old else 1.0
+                tuple(states[name] for name in names), old.own_shares if old else {}
             )
         self._states = states
         self._services = services
@@ -182,28 +185,35 @@
         elif failing and now >= state.health.ejected_until:
             self._eject(state, now)
 
-    def own_share(self, service: str) -> float:
-        """Return this process's share of the load, from the fresh reports."""
+    def own_shares(self, service: str) -> dict[str, float]:
+        """Return this process's share of a service's load in each place.
+
+        It is taken from the fresh reports, and the last known one stays when there
+        are none. Entries prefer near upstreams, so the share differs by place.
+        """
         known = self._services.get(service)
         if known is None:
-            return 1.0
+            return {}
         now = self.clock()
-        fresh = [
-            state
-            for state in known.states
-            if now - state.report_at <= self.knobs.report_stale_s
-        ]
-        total = sum(state.report_load for state in fresh)
-        own = sum(state.report_own for state in fresh)
-        if own and total:
-            known.own_share = min(1.0, own / total)
-        return known.own_share
+        if now < known.shares_at + _COMPARE_INTERVAL_S:
+            return known.own_shares
+        known.shares_at = now
+        sums: dict[str, list[int]] = {}
+        for state in known.states:
+            if now - state.report_at <= self.knobs.report_stale_s:
+                pair = sums.setdefault(state.place, [0, 0])
+                pair[0] += state.report_own
+                pair[1] += state.report_load
+        for place, (own, total) in sums.items():
+            if own and total:
+                known.own_shares[place] = min(1.0, own / total)
+        return known.own_shares
 
     def compare_speeds(self, service: str) -> None:
         """Set how much slower than the median each upstream of a service is."""
         known = self._services.get(service)
         now = self.clock()
-        if known is None or now < known.speed_at + _SPEED_INTERVAL_S:
+        if known is None or now < known.speed_at + _COMPARE_INTERVAL_S:
             return
         known.speed_at = now
         oldest = now - 2 * self.knobs.latency_half_life_s
