--- a/src/mustardfront/coordination/routing/__init__.py
+++ b/src/mustardfront/coordination/routing/__init__.py
@@ -1,7 +1,7 @@
 """Which upstream takes a request, and what the entry knows about each upstream."""
 
 from mustardfront.coordination.routing._baselines import BASELINES
-from mustardfront.coordination.routing._choose import choose
+from mustardfront.coordination.routing._choose import capable_upstreams, choose
 from mustardfront.coordination.routing._hashing import rendezvous_score, upstream_hash
 from mustardfront.coordination.routing._knobs import RoutingKnobs
 from mustardfront.coordination.routing._policy import Policy, default_policy
@@ -18,6 +18,7 @@
     "RoutingKnobs",
     "UpstreamState",
     "UpstreamTable",
+    "capable_upstreams",
     "choose",
     "default_policy",
     "rendezvous_score",
