Run non-idempotent requests at most once

A partition's owner claims a request by compare-and-swap before it runs and records the result with a later write. All partitions of an owner share one transaction, so its writes are bounded to 50 a second at any request rate. A lost answer is resolved by the write's nonce: a head with it took effect, an unchanged head means that the same transaction may be repeated, any other head means that it never will. A claim refused during an outage is voided once its write turns out to be durable, so its resend can run.

Expiry does not depend on clocks or on the retention staying the same: keys up to the newest deleted one stay refused.

--- a/src/mustardfront/constants.py
+++ b/src/mustardfront/constants.py
@@ -31,3 +31,30 @@
 KV_CALL_TIMEOUT_S: Final = 2.0
 # Calls of one process that may be under way at the same time.
 KV_CONNECTIONS: Final = 8
+
+IDEMPOTENCY_PARTITIONS: Final = 16
+# Hosts' wall clocks agree within this; a key from further ahead is malformed.
+CLOCK_SKEW_MAX_S: Final = 300
+# A request waits at most this long for its claim, and is then refused as not run.
+CLAIM_WAIT_S: Final = 5.0
+# Claims that come within this time of the last write go into the next one. It bounds
+# the writes of a sidecar to 50 a second at any request rate.
+CLAIM_GROUP_S: Final = 0.02
+# Results wait this long for a write that carries claims; then they get their own.
+RESULT_FLUSH_S: Final = 0.5
+# The newest part of a record is rewritten with each claim, so it is kept small.
+RECORD_HEAD_BYTES: Final = 32 * 1024
+# One transaction stays well under the service's limit of 1 MB.
+RECORD_WRITE_BYTES: Final = 512 * 1024
+# A full partition refuses new claims; 16 of these are a sole owner's memory.
+RECORD_MAX_BYTES: Final = 2 * 1024 * 1024
+# A larger answer is recorded as complete, but without its body.
+RECORDED_BODY_MAX_BYTES: Final = 16 * 1024
+OWNER_LEASE_S: Final = 10
+OWNER_KEEPALIVE_S: Final = 3.0
+OWNER_CHECK_S: Final = 3.0
+# Least time between two looks at the members, when requests ask for one.
+OWNER_RECHECK_S: Final = 0.25
+# A new owner waits this long for the old one, while that lives, to record results.
+HANDOVER_WAIT_S: Final = 15.0
+KV_RETRY_S: Final = 0.5
