--- a/src/mustardfront/coordination/idempotency/__init__.py
+++ b/src/mustardfront/coordination/idempotency/__init__.py
@@ -1,8 +1,25 @@
 """Non-idempotent requests run at most once."""
 
-from mustardfront.coordination.idempotency._partitions import (
+from mustardfront.coordination.idempotency._execution import (
+    Execute,
+    Execution,
+    not_run,
+    unknown,
+)
+from mustardfront.coordination.idempotency._key import (
     owner_order,
+    parse_key,
     partition_of,
 )
+from mustardfront.coordination.idempotency._owner import PartitionOwner
 
-__all__ = ["owner_order", "partition_of"]
+__all__ = [
+    "Execute",
+    "Execution",
+    "PartitionOwner",
+    "not_run",
+    "owner_order",
+    "parse_key",
+    "partition_of",
+    "unknown",
+]
