--- a/src/mustardfront/state/_ticket.py
+++ b/src/mustardfront/state/_ticket.py
@@ -12,7 +12,17 @@
 
 from mustardfront.codes import Code
 from mustardfront.results import Err, Ok, Result
-from mustardfront.state._config import SECTIONS, Config
+from mustardfront.state._config import (
+    SECTIONS,
+    Config,
+    Group,
+    Host,
+    Limits,
+    Place,
+    Service,
+    Team,
+    Upstream,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,14 +131,26 @@
     return zlib.compress(msgspec.json.encode(data, order="deterministic"))
 
 
+class _Snapshot(msgspec.Struct):
+    """All sections of a configuration, as they are decoded."""
+
+    version: int
+    places: dict[str, Place]
+    hosts: dict[str, Host]
+    services: dict[str, Service]
+    teams: dict[str, Team]
+    upstreams: dict[str, Upstream]
+    groups: dict[str, Group]
+    limits: dict[str, Limits]
+
+
 def config_from_bytes(data: bytes) -> Result[Config]:
     """Return the configuration in compressed JSON; Err(BAD_MESSAGE) otherwise."""
     try:
-        raw = msgspec.json.decode(zlib.decompress(data))
-        sections = {
-            section: MappingProxyType(msgspec.convert(raw[section], dict[str, kind]))  # type: ignore[valid-type]
-            for section, kind in SECTIONS.items()
-        }
-        return Ok(Config(version=msgspec.convert(raw["version"], int), **sections))
-    except (zlib.error, msgspec.MsgspecError, KeyError, TypeError) as exc:
+        raw = msgspec.json.decode(zlib.decompress(data), type=_Snapshot)
+    except (zlib.error, msgspec.MsgspecError) as exc:
         return Err(Code.BAD_MESSAGE, f"not a configuration: {exc}")
+    sections = {
+        section: MappingProxyType(getattr(raw, section)) for section in SECTIONS
+    }
+    return Ok(Config(version=raw.version, **sections))
