Refuse ports in use by name, and tell unknown requests apart

Cause: an HTTP port in use ended a program with a traceback and exit code 1, and explain reported an entry that answered "not found" as unreachable. Ruled out: trying the port before hypercorn binds it, because it can be taken in between; the bound socket is handed over instead.

Before: traceback, exit code 1; after: event setting-refused with flag and address, exit code 2 (test with real processes, which also interrupts a process twice while the platform does not answer).

--- a/bench/config_spread.py
+++ b/bench/config_spread.py
@@ -113,7 +113,8 @@
         f"{TICKETS} tickets while the service answers at once, {TICKETS} while each of"
         f" its calls takes {SLOW_CALL_S} s, then an outage in which a tenth of the"
         " processes restart, then a ticket after it. Real spread code over in-memory"
-        f" streams on the mock clock, {len(PLACES)} places. Bytes are those between"
+        f" streams on the mock clock, {len(PLACES)} places with two watchers each (the"
+        " target has 7 places). Bytes are those between"
         " peers and the values read, before any transport. The baseline has the same"
         " code with one watch for each process and no peers. Slopes are least squares"
         f" over the sizes; {TARGET_PROCESSES} processes are extrapolated from them.",
--- a/src/mustardfront/programs/_runtime.py
+++ b/src/mustardfront/programs/_runtime.py
@@ -4,8 +4,9 @@
 
 import secrets
 import signal
+import socket
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Final, TypeAlias
 
 import trio
@@ -25,6 +26,7 @@
 # the addresses of a process that starts during an outage are known.
 SYNC_WAIT_S: Final = 3.0
 SIGINT_EXIT_CODE: Final = 130
+SETTING_EXIT_CODE: Final = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +60,18 @@
     metrics: Metrics
     draining: trio.Event
     stopping: trio.Event
+    exit_code: int = 0
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+    def end(self, exit_code: int) -> None:
+        """End the process at once."""
+        self.exit_code = exit_code
+        self.scope.cancel()
+
+    def refuse_setting(self, code: Code, text: str) -> None:
+        """End the process because a setting cannot be used."""
+        events.log(events.Event.SETTING_REFUSED, code=int(code), text=text)
+        self.end(SETTING_EXIT_CODE)
 
     @property
     def is_ready(self) -> bool:
@@ -136,31 +150,22 @@
         )
         _add_gauges(process)
         handler = peer_handler(process) if peer_handler else hub.serve
-        code = await _run_tasks(process, settings.peer_listen, serve, handler)
-    events.log(events.Event.PROCESS_STOPPED, exit_code=code)
-    return code
+        with process.scope:
+            await _run_tasks(process, settings.peer_listen, serve, handler)
+    events.log(events.Event.PROCESS_STOPPED, exit_code=process.exit_code)
+    return process.exit_code
 
 
 async def _run_tasks(
     process: Process, peer_listen: tuple[str, int], serve: Serve, handler: Handler
-) -> int:
-    exit_code = 0
+) -> None:
     async with trio.open_nursery() as nursery:
-
-        def end_at_once() -> None:
-            nonlocal exit_code
-            exit_code = SIGINT_EXIT_CODE
-            nursery.cancel_scope.cancel()
-
-        await nursery.start(_signals, process, end_at_once)
-        nursery.start_soon(_shut_down, process, nursery.cancel_scope)
+        await nursery.start(_signals, process)
+        nursery.start_soon(_shut_down, process)
         bound = await _listen(nursery, process, peer_listen, handler)
         if isinstance(bound, Err):
-            events.log(
-                events.Event.SETTING_REFUSED, code=int(bound.code), text=bound.text
-            )
-            nursery.cancel_scope.cancel()
-            return 2
+            process.refuse_setting(bound.code, bound.text)
+            return
         addresses = {"peer": f"{bound.value[0]}:{bound.value[1]}"}
         await nursery.start(process.hosts.run)
         await nursery.start(process.spread.run)
@@ -181,7 +186,6 @@
             synced=process.spread.synced.is_set(),
             config_version=process.store.current.version,
         )
-    return exit_code
 
 
 async def _listen(
@@ -203,7 +207,6 @@
 
 async def _signals(
     process: Process,
-    end_at_once: Callable[[], None],
     *,
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -215,7 +218,7 @@
             if number == signal.SIGINT:
                 interrupts += 1
                 if interrupts == 2:
-                    end_at_once()
+                    process.end(SIGINT_EXIT_CODE)
                     return
             if not process.draining.is_set():
                 events.log(
@@ -224,7 +227,7 @@
                 process.draining.set()
 
 
-async def _shut_down(process: Process, everything: trio.CancelScope) -> None:
+async def _shut_down(process: Process) -> None:
     """Lead from draining to stopping, and limit how long that may take."""
     await process.draining.wait()
     if process.identity.upstream:
@@ -235,7 +238,7 @@
     events.log(
         events.Event.TASK_FAILED, text=f"not drained after {DRAIN_TIMEOUT_S:.0f} s"
     )
-    everything.cancel()
+    process.end(0)
 
 
 def _add_gauges(process: Process) -> None:
@@ -268,8 +271,14 @@
     import hypercorn.trio
     from hypercorn.config import Config
 
+    bound = _bind(listen)
+    if isinstance(bound, Err):
+        process.refuse_setting(bound.code, f"--listen {bound.text}")
+        await trio.sleep_forever()
+        return
     config = Config()
-    config.bind = [f"{listen[0]}:{listen[1]}"]
+    # hypercorn takes over the socket.
+    config.bind = [f"fd://{bound.value.detach()}"]
     config.errorlog = None
     config.graceful_timeout = DRAIN_TIMEOUT_S
 
@@ -294,3 +303,16 @@
 
         binds = await nursery.start(run)
         task_status.started(binds[0].removeprefix("http://"))
+
+
+def _bind(address: tuple[str, int]) -> Result[socket.socket]:
+    """Return a bound TCP socket; Err(ADDRESS_IN_USE) when that is not possible."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+    except OSError as exc:
+        sock.close()
+        return Err(Code.ADDRESS_IN_USE, f"{address[0]}:{address[1]}: {exc}")
+    return Ok(sock)
--- a/src/mustardfront/programs/cli/_client.py
+++ b/src/mustardfront/programs/cli/_client.py
@@ -85,6 +85,8 @@
         error = data["error"]
         return Err(Code(error["code"]), str(error["text"]))
     except (ValueError, KeyError, TypeError):
+        if response.status == 404:
+            return Err(Code.REQUEST_NOT_FOUND, f"{url}: not found")
         text = f"{url}: status {response.status} without a readable answer"
         # Something else than the API answered, so a write was not proved either way.
         return Err(Code.CONNECT_FAILED if body is None else Code.WRITE_UNKNOWN, text)
--- a/tests/test_config_processes.py
+++ b/tests/test_config_processes.py
@@ -37,7 +37,7 @@
         self.fleet, self.kv, self.hosts, self.key_file = fleet, kv, hosts, key_file
         self.admins: list[str] = []
 
-    async def admin(self, name: str):
+    async def start(self, name: str, *more: str):
         args = {
             "listen": "127.0.0.1:0",
             "peer-listen": "127.0.0.1:0",
@@ -48,7 +48,11 @@
             "key-file": str(self.key_file),
         }
         flags = [part for key, value in args.items() for part in (f"--{key}", value)]
-        started = await self.fleet.start(name, "mustardfront.programs.admin", *flags)
+        module = "mustardfront.programs.admin"
+        return await self.fleet.start(name, module, *flags, *more)
+
+    async def admin(self, name: str):
+        started = await self.start(name)
         with trio.fail_after(STEP_LIMIT_S):
             ready = await started.wait_event("process-ready")
         url = f"http://{ready['addresses']['listen']}"
@@ -138,6 +142,31 @@
         assert [ticket["ticket"] for ticket in tickets["tickets"]] == [3, 2, 1]
 
 
+async def test_ports_in_use_and_two_interrupts_end_a_process(tmp_path):
+    # Guards against a traceback in place of the setting's name, and against a process
+    # that cannot be interrupted while the platform does not answer.
+    key_file = tmp_path / "key"
+    key_file.write_bytes(KEY)
+    async with Fleet() as fleet:
+        site = Site(fleet, "http://127.0.0.1:1", "http://127.0.0.1:1", key_file)
+        first = await site.start("a1")
+        with trio.fail_after(STEP_LIMIT_S):
+            ready = await first.wait_event("process-ready")
+        assert not ready["synced"]
+        for flag, name in (("--listen", "listen"), ("--peer-listen", "peer")):
+            address = ready["addresses"][name]
+            second = await site.start(f"second-{name}", flag, address)
+            assert await exit_code(second) == 2
+            with trio.fail_after(STEP_LIMIT_S):
+                refused = await second.wait_event("setting-refused")
+            assert f"{flag} {address}" in refused["text"]
+        first.send_signal(signal.SIGINT)
+        with trio.fail_after(STEP_LIMIT_S):
+            await first.wait_event("process-draining")
+        first.send_signal(signal.SIGINT)
+        assert await exit_code(first) == 130
+
+
 async def test_submission_with_no_admin_running_is_unreachable(tmp_path):
     ticket_file = tmp_path / "ticket.json"
     ticket_file.write_text(json.dumps(TICKET))
@@ -145,3 +174,5 @@
     site.admins = ["http://127.0.0.1:1"]
     assert (await site.cli("ticket", "submit", str(ticket_file)))[0] == 3
     assert (await site.cli("ticket", "submit", str(tmp_path / "none.json")))[0] == 2
+    entry = ("--entry", "http://127.0.0.1:1")
+    assert (await site.cli("explain", "r-1", *entry))[0] == 3
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -6,6 +6,7 @@
 import trio.testing
 from bench._fleet import PLACES, Fleet
 from bench._memory_kv import MemoryKv
+from bench.config_spread import measure
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -289,3 +290,11 @@
             await wait_version(fleet, version)
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_measurement_of_the_spread_runs():
+    # Guards against a measurement that breaks unseen between two runs of all.
+    figures = measure("spread", 10, 1)
+    assert max(figures.in_force_s) <= IN_FORCE_S
+    assert figures.watches == WATCHERS_PER_PLACE * len(PLACES)
+    assert figures.restarted_ready == figures.restarted
