Measure what the sidecar adds; read tokens without a timeout for each

The profile of 64 streams showed that most of a token's cost is httpcore, h11 and trio; within it, the timeout and the exception map that httpcore's backend enters for each read took a quarter, and a checkpoint for each queued chunk another pass of the scheduler. Deadlines bound whole attempts, so reads need no timeout of their own.

--- a/src/mustardfront/programs/sidecar/_attempt.py
+++ b/src/mustardfront/programs/sidecar/_attempt.py
@@ -88,7 +88,10 @@
 
     async def send(self, message: Message) -> None:
         """Send to the caller, unless it no longer listens."""
-        if not self.detached:
+        if self.detached:
+            return
+        # Queueing without a checkpoint saves a pass of the scheduler for each token.
+        if not self.conn.send_nowait(message):
             await self.conn.send(message)
 
     def refused(self, err: Err, retry_after_ms: int = 0) -> Refused:
--- a/src/mustardfront/programs/sidecar/_upstream.py
+++ b/src/mustardfront/programs/sidecar/_upstream.py
@@ -11,7 +11,7 @@
 import trio
 
 from mustardfront.codes import Code
-from mustardfront.constants import CONNECT_TIMEOUT_S
+from mustardfront.programs.sidecar._network import PlainNetwork
 from mustardfront.protocol import Headers
 from mustardfront.results import Err, Ok, Result
 
@@ -87,6 +87,7 @@
         parsed = httpcore.URL(url)
         self._origin = parsed.origin
         self._host = url.removeprefix("http://").rstrip("/").encode()
+        self._network = PlainNetwork()
         self._idle: list[httpcore.AsyncHTTPConnection] = []
 
     async def aclose(self) -> None:
@@ -133,7 +134,9 @@
             if conn.is_available() and not conn.has_expired():
                 return conn
             await conn.aclose()
-        return httpcore.AsyncHTTPConnection(self._origin, keepalive_expiry=KEEP_IDLE_S)
+        return httpcore.AsyncHTTPConnection(
+            self._origin, keepalive_expiry=KEEP_IDLE_S, network_backend=self._network
+        )
 
     async def _give_back(self, conn: httpcore.AsyncHTTPConnection) -> None:
         if conn.is_available() and len(self._idle) < IDLE_CONNECTIONS_MAX:
@@ -159,9 +162,7 @@
             if name.endswith("send_request_headers.started") and before_write:
                 await before_write()
 
-        extensions: dict[str, Any] = {"timeout": {"connect": CONNECT_TIMEOUT_S}}
-        if before_write is not None:
-            extensions["trace"] = trace
+        extensions = {"trace": trace} if before_write else {}
         url = httpcore.URL(
             scheme=self._origin.scheme,
             host=self._origin.host,
--- a/src/mustardfront_standins/engine/_app.py
+++ b/src/mustardfront_standins/engine/_app.py
@@ -5,6 +5,7 @@
 import json
 import os
 import signal
+import time
 import uuid
 from collections import deque
 from dataclasses import dataclass, field
@@ -41,6 +42,8 @@
     prefill_s_per_char: float
     crash_marker: str
     cut_marker: str
+    # Adds the time of sending to each token, for measurements on one host.
+    stamps: bool = False
     instance: str = field(default_factory=lambda: uuid.uuid4().hex)
     fence: int = 0
     orders: list[dict[str, Any]] = field(default_factory=list)
@@ -175,6 +178,8 @@
             finish = "length" if last else None
             choice = {"index": 0, "text": token, "finish_reason": finish}
             event = {"id": sequence.request_id, "index": index, "choices": [choice]}
+            if self.stamps:
+                event["sent_s"] = time.monotonic()
             await _send_event(send, json.dumps(event))
             if cut and index + 1 == (sequence.end + 1) // 2:
                 sequence.cancelled = True
--- a/src/mustardfront_standins/engine/_main.py
+++ b/src/mustardfront_standins/engine/_main.py
@@ -27,6 +27,7 @@
 @click.option("--checks-fence/--ignores-fence", default=True, help="Refuse old fences.")
 @click.option("--crash-marker", default="<crash>", help="Prompts that end the process.")
 @click.option("--cut-marker", default="<cut>", help="Prompts cut off half-way.")
+@click.option("--stamps", is_flag=True, help="Add the time of sending to tokens.")
 def main(
     listen: str,
     model: str,
@@ -43,6 +44,7 @@
     checks_fence: bool,
     crash_marker: str,
     cut_marker: str,
+    stamps: bool,
 ) -> None:
     """Serve deterministic completions until SIGTERM."""
     host, _, port = listen.rpartition(":")
@@ -59,6 +61,7 @@
         prefill_us_per_char / 1e6,
         crash_marker,
         cut_marker,
+        stamps,
     )
 
     async def run() -> None:
--- a/tests/running.py
+++ b/tests/running.py
@@ -18,6 +18,8 @@
     Identity,
     Leaving,
     LoadReport,
+    Ping,
+    Pong,
     Refused,
     Request,
     Started,
@@ -181,6 +183,8 @@
                     self.loads.append(report)
                 case Leaving():
                     self.leaving.set()
+                case Ping(nonce, version):
+                    self.conn.send_nowait(Pong(nonce, version))
                 case other:
                     assert self.calls.dispatch(other) is None
 
