Share slot time fairly, shed by priority and refuse late requests early

The thin queue counted requests, so a team with long answers got more than its share, and it could neither shed nor predict. Slot time is charged at the grant by the smoothed holding time and corrected at the release. A full queue sheds the lowest priority, among equals from the team with the longest queue for its weight.

--- a/src/mustardfront/coordination/limits/_adaptive.py
+++ b/src/mustardfront/coordination/limits/_adaptive.py
@@ -5,24 +5,38 @@
 import math
 from typing import Final
 
-_TOLERANCE: Final = 1.5
-_LONG_WEIGHT: Final = 0.01
-_SMOOTHING: Final = 0.2
+# Latency may grow by this factor over its usual value before the limit falls.
+TOLERANCE_RATIO: Final = 1.5
+# One change of the limit is based on at least so many finished requests.
+WINDOW_SAMPLES_MIN: Final = 10
+# The usual latency follows improvements fast and deterioration slowly, so that a
+# lasting overload does not become usual.
+_USUAL_DOWN_WEIGHT: Final = 0.2
+_USUAL_UP_WEIGHT: Final = 0.01
+_GRADIENT_MIN: Final = 0.5
+_SMOOTHING: Final = 0.3
 _FAILURE_FACTOR: Final = 0.9
 
 
 class AdaptiveLimit:
     """Limit between ``minimum`` and ``maximum``, lowered as latency grows.
 
-    It compares the latest latency with its long average; without growth, the limit
-    rises by the square root of itself while at least half of it is used.
+    It compares the mean latency of a window with the usual one. While latency does
+    not grow, the limit rises by up to its square root in each window, but only when
+    at least half of it was in use.
     """
 
     def __init__(self, initial: int, minimum: int, maximum: int) -> None:
+        if not 1 <= minimum <= maximum:
+            raise ValueError(f"limits {minimum} to {maximum} are not a range from 1")
         self._minimum = minimum
         self._maximum = maximum
         self._value = float(min(max(initial, minimum), maximum))
-        self._long_s = 0.0
+        self._usual_s = 0.0
+        self._sum_s = 0.0
+        self._samples = 0
+        self._failures = 0
+        self._most_in_flight = 0
 
     @property
     def limit(self) -> int:
@@ -30,20 +44,39 @@
         return int(self._value)
 
     def observe(self, latency_s: float, in_flight: int, ok: bool) -> None:
-        """Take one finished request into account; not ``ok`` means overload."""
+        """Take one finished request into account; not ``ok`` means overload.
+
+        ``latency_s`` should depend on the load and not on the length of the answer,
+        such as the time to first token or the time between tokens.
+        """
+        self._most_in_flight = max(self._most_in_flight, in_flight)
         if not ok:
-            self._set(self._value * _FAILURE_FACTOR)
-            return
-        if latency_s <= 0:
-            return
-        if not self._long_s:
-            self._long_s = latency_s
-        self._long_s += (latency_s - self._long_s) * _LONG_WEIGHT
-        gradient = max(0.5, min(1.0, _TOLERANCE * self._long_s / latency_s))
-        if gradient == 1.0 and in_flight * 2 < self._value:
-            return
-        target = self._value * gradient + math.sqrt(self._value)
-        self._set(self._value + (target - self._value) * _SMOOTHING)
-
-    def _set(self, value: float) -> None:
+            self._failures += 1
+        elif math.isfinite(latency_s) and latency_s > 0:
+            self._sum_s += latency_s
+            self._samples += 1
+        window = max(WINDOW_SAMPLES_MIN, self.limit // 2)
+        if self._samples + self._failures >= window:
+            self._adjust()
+
+    def _adjust(self) -> None:
+        value = self._value
+        if self._failures:
+            share = self._failures / (self._samples + self._failures)
+            value *= 1 - (1 - _FAILURE_FACTOR) * max(share, 0.5) * 2
+        elif self._samples:
+            value = self._follow(self._sum_s / self._samples)
         self._value = min(max(value, self._minimum), self._maximum)
+        self._sum_s, self._samples, self._failures = 0.0, 0, 0
+        self._most_in_flight = 0
+
+    def _follow(self, mean_s: float) -> float:
+        usual_s = self._usual_s or mean_s
+        gradient = max(_GRADIENT_MIN, min(1.0, TOLERANCE_RATIO * usual_s / mean_s))
+        weight = _USUAL_DOWN_WEIGHT if mean_s < usual_s else _USUAL_UP_WEIGHT
+        self._usual_s = usual_s + (mean_s - usual_s) * weight
+        if gradient == 1.0 and self._most_in_flight * 2 < self._value:
+            return self._value
+        room = math.sqrt(self._value) if gradient == 1.0 else 0.0
+        target = self._value * gradient + room
+        return self._value + (target - self._value) * _SMOOTHING
--- a/src/mustardfront/coordination/limits/_queue.py
+++ b/src/mustardfront/coordination/limits/_queue.py
@@ -2,33 +2,42 @@
 
 from __future__ import annotations
 
-import heapq
+import bisect
 import itertools
 from collections.abc import Callable
 from types import TracebackType
+from typing import Final
 
 import trio
 
 from mustardfront.codes import Code
 from mustardfront.results import Err, Ok, Result
 
+# Weight of one release in the smoothed time that a slot is held.
+_HOLD_WEIGHT: Final = 0.05
+# Releases before the smoothed time is used to predict waits.
+_HOLD_SAMPLES_MIN: Final = 8
+# Shares are compared up to this many seconds of slot time.
+_SHARE_TOLERANCE: Final = 1e-9
+
 
 class Slot:
     """The right to run one request; released once, also as a context manager."""
 
-    __slots__ = ("_queue", "_released", "_started_at", "_team")
+    __slots__ = ("_charged_s", "_queue", "_started_at", "_team")
 
-    def __init__(self, queue: FairQueue, team: str) -> None:
-        self._queue = queue
+    def __init__(self, queue: FairQueue, team: _Team, charged_s: float) -> None:
+        self._queue: FairQueue | None = queue
         self._team = team
+        self._charged_s = charged_s
         self._started_at = trio.current_time()
-        self._released = False
 
     def release(self) -> None:
         """Give the slot back; a second call does nothing."""
-        if not self._released:
-            self._released = True
-            self._queue._release(self._team, trio.current_time() - self._started_at)
+        queue, self._queue = self._queue, None
+        if queue is not None:
+            held_s = trio.current_time() - self._started_at
+            queue._release(self._team, held_s, self._charged_s)
 
     def __enter__(self) -> Slot:
         return self
@@ -42,27 +51,55 @@
         self.release()
 
 
+class _Team:
+    """A team's waiting requests and how much slot time it had, by its weight."""
+
+    __slots__ = ("in_flight", "name", "used_s", "waiting", "weight")
+
+    def __init__(self, name: str, used_s: float) -> None:
+        self.name = name
+        self.weight = 1.0
+        self.used_s = used_s
+        self.in_flight = 0
+        # In the order of serving: highest priority first, then the oldest.
+        self.waiting: list[_Waiter] = []
+
+
 class _Waiter:
-    __slots__ = ("event", "outcome", "team")
+    __slots__ = ("event", "key", "outcome", "team")
 
-    def __init__(self, team: str) -> None:
+    def __init__(self, team: _Team, priority: int, order: int) -> None:
         self.team = team
+        self.key = (-priority, order)
         self.event = trio.Event()
         self.outcome: Result[Slot] | None = None
 
 
+def _key(waiter: _Waiter) -> tuple[int, int]:
+    return waiter.key
+
+
 class FairQueue:
-    """Grants up to ``limit()`` slots; waiting teams share them by weight."""
+    """Grants up to ``limit()`` slots; waiting teams share slot time by weight.
+
+    The next slot goes to the waiting team that had the least slot time for its
+    weight, and there to the request of the highest priority (a larger number is more
+    important). A team gains nothing from the time in which it asked for nothing.
+    ``max_queued`` may be changed at any time. When ``limit`` rises other than by a
+    release, ``wake`` grants the new slots.
+    """
 
     def __init__(self, limit: Callable[[], int], max_queued: int) -> None:
+        self.max_queued = max_queued
         self._limit = limit
-        self._max_queued = max_queued
         self._in_flight = 0
-        self._order = itertools.count()
-        self._virtual = 0.0
-        self._tags: dict[str, float] = {}
-        self._heap: list[tuple[float, int, int, _Waiter]] = []
         self._queued = 0
+        self._order = itertools.count()
+        self._teams: dict[str, _Team] = {}
+        # Slot time of the team that was served last, before it was charged.
+        self._floor_s = 0.0
+        self._hold_s = 0.0
+        self._hold_samples = 0
 
     @property
     def in_flight(self) -> int:
@@ -79,49 +116,150 @@
     ) -> Result[Slot]:
         """Wait for a slot until ``deadline_s`` of trio's clock.
 
-        Err(QUEUE_FULL), Err(DEADLINE_PASSED) or Err(SHED): the request did not run.
+        Each error proves that the request did not run: DEADLINE_PASSED,
+        DEADLINE_UNREACHABLE when the predicted wait is too long, QUEUE_FULL, and SHED
+        when it gave its place to a request of higher priority or of a team that has
+        fewer requests waiting for its weight.
         """
         await trio.lowlevel.checkpoint()
-        if deadline_s <= trio.current_time():
+        now = trio.current_time()
+        if deadline_s <= now:
             return Err(Code.DEADLINE_PASSED, "its deadline had passed on arrival")
+        state = self._team(team, weight)
         if not self._queued and self._in_flight < self._limit():
-            return Ok(self._grant(team))
-        if self._queued >= self._max_queued:
-            return Err(Code.QUEUE_FULL, f"{self._queued} requests wait already")
-        waiter = _Waiter(team)
-        tag = max(self._virtual, self._tags.get(team, 0.0)) + 1.0 / weight
-        self._tags[team] = tag
-        heapq.heappush(self._heap, (tag, -priority, next(self._order), waiter))
+            return Ok(self._grant(state))
+        waiter = _Waiter(state, priority, next(self._order))
+        refused = self._check_wait(waiter, deadline_s - now) or self._make_room(waiter)
+        if refused is not None:
+            self._forget_idle(state)
+            return refused
+        bisect.insort(state.waiting, waiter, key=_key)
         self._queued += 1
+        self.wake()
         try:
             with trio.move_on_at(deadline_s):
                 await waiter.event.wait()
         except BaseException:
-            if waiter.outcome is None:
-                self._forget(waiter)
-            elif isinstance(waiter.outcome, Ok):
+            if isinstance(waiter.outcome, Ok):
                 waiter.outcome.value.release()
             raise
-        if waiter.outcome is None:
-            self._forget(waiter)
-            return Err(Code.DEADLINE_PASSED, "its deadline passed in the queue")
-        return waiter.outcome
+        finally:
+            if waiter.outcome is None:
+                self._remove(waiter)
+        return waiter.outcome or Err(
+            Code.DEADLINE_PASSED, "its deadline passed in the queue"
+        )
 
-    def _forget(self, waiter: _Waiter) -> None:
-        waiter.outcome = Err(Code.CANCELLED, "no longer waits")
+    def wake(self) -> None:
+        """Grant the free slots to those that wait."""
+        while self._queued and self._in_flight < self._limit():
+            team = min(
+                (team for team in self._teams.values() if team.waiting),
+                key=lambda team: team.used_s,
+            )
+            waiter = team.waiting[0]
+            self._remove(waiter, forget=False)
+            waiter.outcome = Ok(self._grant(team))
+            waiter.event.set()
+
+    def expected_wait_s(self, team: str, weight: float, priority: int) -> float:
+        """Predict how long a request would wait now, in seconds; 0 when not known."""
+        if self._in_flight < self._limit() and not self._queued:
+            return 0.0
+        state = self._teams.get(team)
+        own = 0
+        if state is not None:
+            # Compares with a request that comes after all others of its priority.
+            own = bisect.bisect_left(state.waiting, (1 - priority, 0), key=_key)
+        return self._wait_s(state, weight, own)
+
+    def _wait_s(self, team: _Team | None, weight: float, own_ahead: int) -> float:
+        if self._hold_samples < _HOLD_SAMPLES_MIN:
+            return 0.0
+        turns = (own_ahead + 1) / weight
+        ahead = own_ahead + sum(
+            min(len(other.waiting), turns * other.weight)
+            for other in self._teams.values()
+            if other is not team
+        )
+        # All slots are held, so one is released each hold time over their number.
+        return (ahead + 1) * self._hold_s / max(1, self._limit())
+
+    def _check_wait(self, waiter: _Waiter, left_s: float) -> Err | None:
+        team = waiter.team
+        own_ahead = bisect.bisect_left(team.waiting, waiter.key, key=_key)
+        wait_s = self._wait_s(team, team.weight, own_ahead)
+        if wait_s <= left_s:
+            return None
+        text = f"would wait {wait_s:.1f} s, deadline in {left_s:.1f} s"
+        return Err(Code.DEADLINE_UNREACHABLE, text)
+
+    def _make_room(self, waiter: _Waiter) -> Err | None:
+        """Shed the least important request when full; Err when that is ``waiter``."""
+        if self._queued < self.max_queued:
+            return None
+        full = Err(Code.QUEUE_FULL, f"{self._queued} requests wait already")
+        if not self._queued:
+            return full
+        # Of the lowest priority, one of the team with the most waiting for its weight.
+        victim = max(
+            (team.waiting[-1] for team in self._teams.values() if team.waiting),
+            key=lambda last: (last.key[0], _backlog(last.team, 0), last.key[1]),
+        )
+        if victim.key[0] < waiter.key[0]:
+            return full
+        if victim.key[0] == waiter.key[0] and _backlog(victim.team, 0) <= _backlog(
+            waiter.team, 1
+        ):
+            return full
+        self._remove(victim)
+        victim.outcome = Err(Code.SHED, "gave its place to a more important request")
+        victim.event.set()
+        return None
+
+    def _team(self, name: str, weight: float) -> _Team:
+        team = self._teams.get(name)
+        if team is None:
+            team = self._teams[name] = _Team(name, self._floor_s)
+        elif not team.in_flight and not team.waiting:
+            team.used_s = max(team.used_s, self._floor_s)
+        # Weights below this would let a team's share round to nothing.
+        team.weight = max(weight, 1e-3)
+        return team
+
+    def _remove(self, waiter: _Waiter, *, forget: bool = True) -> None:
+        team = waiter.team
+        del team.waiting[bisect.bisect_left(team.waiting, waiter.key, key=_key)]
         self._queued -= 1
+        if forget:
+            self._forget_idle(team)
 
-    def _grant(self, team: str) -> Slot:
+    def _grant(self, team: _Team) -> Slot:
         self._in_flight += 1
-        return Slot(self, team)
+        team.in_flight += 1
+        self._floor_s = max(self._floor_s, team.used_s)
+        # The time is not known yet; the release corrects the charge.
+        charged_s = self._hold_s or 1.0
+        team.used_s += charged_s / team.weight
+        return Slot(self, team, charged_s)
 
-    def _release(self, team: str, held_s: float) -> None:
+    def _release(self, team: _Team, held_s: float, charged_s: float) -> None:
         self._in_flight -= 1
-        while self._heap and self._in_flight < self._limit():
-            tag, _, _, waiter = heapq.heappop(self._heap)
-            if waiter.outcome is not None:
-                continue
-            self._virtual = tag
-            self._queued -= 1
-            waiter.outcome = Ok(self._grant(waiter.team))
-            waiter.event.set()
+        team.in_flight -= 1
+        team.used_s += (held_s - charged_s) / team.weight
+        self._hold_samples += 1
+        change = max(_HOLD_WEIGHT, 1 / self._hold_samples)
+        self._hold_s += (held_s - self._hold_s) * change
+        self.wake()
+        self._forget_idle(team)
+
+    def _forget_idle(self, team: _Team) -> None:
+        """Drop a team that has nothing here and is not ahead of the others."""
+        if team.waiting or team.in_flight:
+            return
+        if team.used_s <= self._floor_s + _SHARE_TOLERANCE or len(self._teams) == 1:
+            self._teams.pop(team.name, None)
+
+
+def _backlog(team: _Team, more: int) -> float:
+    return (len(team.waiting) + more) / team.weight
