--- a/bench/_sim.py
+++ b/bench/_sim.py
@@ -250,7 +250,7 @@
             outcome.total_s = now - begun
             return Code.ANSWERED
         refused = served.code in REFUSED
-        table.finished(name, 0.0 if refused else now - started, refused)
+        table.finished(name, now - started, None if refused else False)
         if served.code in (Code.CONNECT_FAILED, Code.PEER_LOST):
             table.connected(name, False)
         return served.code
--- a/src/mustardfront/coordination/routing/_policy.py
+++ b/src/mustardfront/coordination/routing/_policy.py
@@ -113,20 +113,22 @@
     """
     knobs = table.knobs
     region = table.region_of(place)
-    near = [state for state in capable if state.region == region]
-    same = [state for state in near if state.place == place]
+    tiers: dict[str, list[UpstreamState]] = {
+        "same-place": [],
+        "same-region": [],
+        "any-region": [],
+    }
+    for state in capable:
+        if state.region != region:
+            tiers["any-region"].append(state)
+        else:
+            same = state.place == place
+            tiers["same-place" if same else "same-region"].append(state)
     chosen, chosen_score, reason = capable[0], math.inf, ""
     compared: list[Candidate] = []
-    narrower = 0
-    for tier, tier_reason in (
-        (same, "same-place"),
-        (near, "same-region"),
-        (capable, "any-region"),
-    ):
-        # The tiers are nested, so one of the same size holds the same upstreams.
-        if len(tier) == narrower:
+    for tier_reason, tier in tiers.items():
+        if not tier:
             continue
-        narrower = len(tier)
         picked = table.rng.sample(tier, min(knobs.choices_count, len(tier)))
         found = [view.candidate(state) for state in picked]
         compared += found
--- a/src/mustardfront/coordination/routing/_table.py
+++ b/src/mustardfront/coordination/routing/_table.py
@@ -164,24 +164,26 @@
             half_life_s = self.knobs.latency_half_life_s
             state.ttft.add(self.clock(), seconds, half_life_s)
 
-    def finished(self, upstream: str, seconds: float, ok: bool) -> None:
+    def finished(self, upstream: str, seconds: float, ok: bool | None) -> None:
         """Uncount a request; ``ok`` is false when the upstream failed it.
 
-        A refusal for lack of capacity is no failure; it is reported with 0 seconds,
-        which tell nothing about latency or health.
+        ``ok`` is None when the end tells nothing about the upstream: the caller went
+        away, or the request was refused for lack of capacity.
         """
         state = self._states.get(upstream)
         if state is None:
             return
         now = self.clock()
         state.count(now, -1, self.knobs.report_lag_s)
-        if ok and not seconds:
+        if ok is None:
             return
         if ok:
             state.latency.add(now, seconds, self.knobs.latency_half_life_s)
         failing = state.health.record(now, ok, self.knobs)
         if ok and state.health.probing:
-            self._returned(state)
+            # Requests from before the ejection prove nothing about new ones.
+            if now - seconds >= state.health.ejected_until:
+                self._returned(state)
         elif failing and now >= state.health.ejected_until:
             self._eject(state, now)
 
