--- a/bench/_engine.py
+++ b/bench/_engine.py
@@ -31,14 +31,6 @@
     deadline_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class Served:
-    """An answered request: seconds until its first token, and whether it hit."""
-
-    first_token_s: float
-    hit: bool
-
-
 @dataclass(frozen=True, slots=True)
 class EngineModel:
     """Times of an engine: a serial prefill, and steps that grow with the batch."""
@@ -67,12 +59,10 @@
         self.slow = slow
         self.failing = False
         self.lost = False
-        self.load_samples: list[int] = []
-        self.hits = 0
-        self.arrivals = 0
         self.slot_limit: Callable[[], int] = lambda: model.slots
         self.queue = FairQueue(lambda: self.slot_limit(), model.queue)
         self.adaptive: AdaptiveLimit | None = None
+        self.on_cached: Callable[[int, bool], None] = lambda _prefix, _added: None
         self._cache: OrderedDict[int, None] = OrderedDict()
         self._prefill = trio.Lock()
         self._latency_s = 0.0
@@ -92,7 +82,6 @@
         if self.failing:
             await trio.sleep(FAIL_AFTER_S)
             return Err(Code.UPSTREAM_DOWN, "failing")
-        self.arrivals += 1
         outcome: Result[None] = Err(Code.PEER_LOST, "cut off")
         with trio.CancelScope() as scope:
             self._scopes.add(scope)
@@ -130,9 +119,11 @@
         hit = prefix in self._cache
         self._cache[prefix] = None
         self._cache.move_to_end(prefix)
+        if not hit:
+            self.on_cached(prefix, True)
         if len(self._cache) > self.model.cache_prefixes:
-            self._cache.popitem(last=False)
-        self.hits += hit
+            evicted, _ = self._cache.popitem(last=False)
+            self.on_cached(evicted, False)
         return hit
 
     def lose(self) -> None:
@@ -141,10 +132,6 @@
         for scope in self._scopes:
             scope.cancel()
 
-    def has_cached(self, prefix: int) -> bool:
-        """Say whether a prefix is in the cache now."""
-        return prefix in self._cache
-
     async def report(
         self, deliver: Callable[[LoadReport], None], delay_s: Callable[[], float]
     ) -> None:
--- a/bench/_sim.py
+++ b/bench/_sim.py
@@ -4,8 +4,9 @@
 
 import itertools
 import random
+import sys
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 
 import trio
@@ -14,7 +15,7 @@
 
 from bench._engine import Engine, EngineModel, Work
 from mustardfront.codes import Code
-from mustardfront.coordination.limits import RetryBudget
+from mustardfront.coordination.limits import RetryBudget, TeamLimits
 from mustardfront.coordination.routing import (
     BASELINES,
     Policy,
@@ -57,6 +58,9 @@
     attempts_max: int = 4
     retry_ratio: float = 0.1
     deadline_s: float = 60.0
+    # Requests of a team that one entry lets run at a time; no limit when absent.
+    team_limits: dict[str, int] = field(default_factory=dict)
+    fair: bool = True
 
 
 @dataclass(slots=True)
@@ -130,12 +134,25 @@
     return ordered[min(len(ordered) - 1, int(quantile * len(ordered)))]
 
 
-def make_trace(scenario: Scenario, seed: int) -> list[Work]:
-    """Return Poisson arrivals; the same for all policies of a seed."""
-    rng = random.Random(seed)
-    rate = (
-        scenario.load * scenario.groups * scenario.model.capacity(scenario.mean_tokens)
-    )
+def make_trace(
+    scenario: Scenario, seed: int, teams: dict[str, float] | None = None
+) -> list[Work]:
+    """Return Poisson arrivals; the same for all policies of a seed.
+
+    ``teams`` are their loads as shares of what the healthy groups serve; each has
+    arrivals and prefixes of its own, which do not depend on the other teams.
+    """
+    works: list[Work] = []
+    for index, (team, load) in enumerate((teams or {"team": scenario.load}).items()):
+        works += _team_trace(scenario, random.Random(seed * 1_000 + index), team, load)
+    works.sort(key=lambda work: work.at_s)
+    return [replace(work, number=number) for number, work in enumerate(works)]
+
+
+def _team_trace(
+    scenario: Scenario, rng: random.Random, team: str, load: float
+) -> list[Work]:
+    rate = load * scenario.groups * scenario.model.capacity(scenario.mean_tokens)
     weights = [1 / (rank + 1) ** scenario.zipf for rank in range(scenario.prefixes)]
     cumulative = list(itertools.accumulate(weights))
     names = [rng.getrandbits(64) | 1 for _ in range(scenario.prefixes)]
@@ -148,10 +165,10 @@
         prefix = rng.choices(names, cum_weights=cumulative)[0]
         works.append(
             Work(
-                number=len(works),
+                number=0,
                 at_s=at_s,
                 entry=rng.randrange(scenario.entries),
-                team="team",
+                team=team,
                 prefix=prefix if rng.random() < scenario.prefix_share else 0,
                 tokens=max(10, round(rng.gammavariate(4, scenario.mean_tokens / 4))),
                 deadline_s=at_s + scenario.deadline_s,
@@ -205,8 +222,19 @@
         self.table = UpstreamTable(trio.current_time, scenario.knobs, rng)
         self.table.update_config(cfg)
         self.budget = RetryBudget(scenario.retry_ratio, 3)
+        self.teams = TeamLimits()
 
     async def call(self, outcome: Outcome) -> None:
+        """Run one request unless its team is at its limit at this entry."""
+        team = outcome.work.team
+        maximum = self.scenario.team_limits.get(team, sys.maxsize)
+        with self.teams.hold(team, maximum) as held:
+            if isinstance(held, Err):
+                outcome.code = held.code
+                return
+            await self._route(outcome)
+
+    async def _route(self, outcome: Outcome) -> None:
         """Route one request, with retries elsewhere while the budget allows."""
         work, begun = outcome.work, trio.current_time()
         req = RouteRequest(
@@ -243,7 +271,9 @@
 
         table.started(name)
         weight = self.scenario.weights.get(outcome.work.team, 1.0)
-        served = await self.engines[name].serve(outcome.work, weight, first)
+        # Without fairness, all requests count as one team's: first come, first served.
+        work = outcome.work if self.scenario.fair else replace(outcome.work, team="")
+        served = await self.engines[name].serve(work, weight, first)
         now = trio.current_time()
         if isinstance(served, Ok):
             table.finished(name, now - started, True)
@@ -309,14 +339,16 @@
 
 def simulate(
     scenario: Scenario,
-    policy: str,
+    policy: str | Callable[[], Policy],
     seed: int,
     works: Sequence[Work] | None = None,
     fault: Fault | None = None,
     setup: Callable[[Sequence[Engine]], None] | None = None,
 ) -> Result:
-    """Run a scenario under a policy, by name, on a clock of its own."""
-    make = BASELINES.get(policy, lambda: default_policy)
+    """Run a scenario under a policy, or a named one, on a clock of its own."""
+    make = policy
+    if isinstance(make, str):
+        make = BASELINES.get(make, lambda: default_policy)
     # Trio shuffles tasks that are due together; a fixed order makes runs repeatable.
     _run._hypothesis_plugin_setup()
     _run._r.seed(seed)
