--- a/bench/_sim.py
+++ b/bench/_sim.py
@@ -243,7 +243,9 @@
         exclude: frozenset[str] = frozenset()
         self.budget.record_request()
         while outcome.attempts < self.scenario.attempts_max:
-            if outcome.attempts and not self.budget.try_spend():
+            # An attempt that reached no upstream put no load on any.
+            free = outcome.code is Code.CONNECT_FAILED
+            if outcome.attempts and not free and not self.budget.try_spend():
                 return
             decision = choose(self.table, self.cfg, req, exclude, self.policy)
             if isinstance(decision, Err):
--- a/src/mustardfront/coordination/routing/_knobs.py
+++ b/src/mustardfront/coordination/routing/_knobs.py
@@ -31,10 +31,10 @@
     spill_utilisation_min: float = 0.5
     slow_start_s: float = 10.0
     slow_start_weight_min: float = 0.1
-    eject_failures_count: int = 5
+    eject_failures_count: int = 3
     eject_window_s: float = 10.0
     eject_failure_ratio: float = 0.5
-    eject_base_s: float = 5.0
+    eject_base_s: float = 10.0
     eject_max_s: float = 60.0
     eject_groups_max_ratio: float = 1 / 3
     reconnect_base_s: float = 0.5
