--- a/bench/_engine.py
+++ b/bench/_engine.py
@@ -42,7 +42,8 @@
     step_each_s: float = 0.00025
     cache_prefixes: int = 60
     queue: int = 256
-    tolerance: float = 0.0
+    reserve_ratio: float = 0.0
+    max_starting: int = 0
 
     def capacity(self, mean_tokens: float) -> float:
         """Return the requests a second that one group of full batch can serve."""
@@ -60,7 +61,12 @@
         self.failing = False
         self.lost = False
         self.slot_limit: Callable[[], int] = lambda: model.slots
-        self.queue = FairQueue(lambda: self.slot_limit(), model.queue)
+        self.queue = FairQueue(
+            lambda: self.slot_limit(),
+            model.queue,
+            model.reserve_ratio,
+            model.max_starting,
+        )
         self.adaptive: AdaptiveLimit | None = None
         self.on_cached: Callable[[int, bool], None] = lambda _prefix, _added: None
         self._cache: OrderedDict[int, None] = OrderedDict()
@@ -104,6 +110,7 @@
                 seconds = self.model.prefill_hit_s if hit else self.model.prefill_s
                 await trio.sleep(seconds * self.slow)
             on_first(hit)
+            slot.value.begun()
             batch = self.queue.in_flight
             step_s = self.model.step_s + self.model.step_each_s * batch
             await trio.sleep(step_s * self.slow * work.tokens)
--- a/src/mustardfront/coordination/limits/_queue.py
+++ b/src/mustardfront/coordination/limits/_queue.py
@@ -4,6 +4,7 @@
 
 import bisect
 import itertools
+import math
 from collections.abc import Callable
 from types import TracebackType
 from typing import Final
@@ -17,23 +18,36 @@
 _HOLD_WEIGHT: Final = 0.05
 # Releases before the smoothed time is used to predict waits.
 _HOLD_SAMPLES_MIN: Final = 8
-# Shares are compared up to this many seconds of slot time.
-_SHARE_TOLERANCE: Final = 1e-9
+# A team counts as active for this long after its last request.
+_ACTIVE_S: Final = 30.0
+_PURGE_INTERVAL_S: Final = 1.0
+# A team that holds up to this many times its share may use the reserved slots; a
+# small team's requests come in bursts.
+_RESERVE_SHARES: Final = 2.0
 
 
 class Slot:
     """The right to run one request; released once, also as a context manager."""
 
-    __slots__ = ("_charged_s", "_queue", "_started_at", "_team")
+    __slots__ = ("_charged_s", "_queue", "_started_at", "_starting", "_team")
 
     def __init__(self, queue: FairQueue, team: _Team, charged_s: float) -> None:
         self._queue: FairQueue | None = queue
         self._team = team
         self._charged_s = charged_s
         self._started_at = trio.current_time()
+        self._starting = True
+
+    def begun(self) -> None:
+        """Note that the answer has begun, so that the next request may start."""
+        queue = self._queue
+        if queue is not None and self._starting:
+            self._starting = False
+            queue._begun()
 
     def release(self) -> None:
         """Give the slot back; a second call does nothing."""
+        self.begun()
         queue, self._queue = self._queue, None
         if queue is not None:
             held_s = trio.current_time() - self._started_at
@@ -54,12 +68,12 @@
 class _Team:
     """A team's waiting requests and how much slot time it had, by its weight."""
 
-    __slots__ = ("in_flight", "name", "used_s", "waiting", "weight")
+    __slots__ = ("in_flight", "seen_at", "used_s", "waiting", "weight")
 
-    def __init__(self, name: str, used_s: float) -> None:
-        self.name = name
+    def __init__(self, used_s: float) -> None:
         self.weight = 1.0
         self.used_s = used_s
+        self.seen_at = 0.0
         self.in_flight = 0
         # In the order of serving: highest priority first, then the oldest.
         self.waiting: list[_Waiter] = []
@@ -85,12 +99,29 @@
     The next slot goes to the waiting team that had the least slot time for its
     weight, and there to the request of the highest priority (a larger number is more
     important). A team gains nothing from the time in which it asked for nothing.
+
+    ``reserve_ratio`` of the slots are granted only to teams that hold less than their
+    share, so a small team need not wait for a large one's answers to end. A team
+    that is alone for 30 s has all slots. ``max_starting``, when not 0, bounds the
+    requests whose answer has not begun, so that they wait here in fair order and
+    not in the upstream's own queue; holders then call ``Slot.begun``.
     ``max_queued`` may be changed at any time. When ``limit`` rises other than by a
     release, ``wake`` grants the new slots.
     """
 
-    def __init__(self, limit: Callable[[], int], max_queued: int) -> None:
+    def __init__(
+        self,
+        limit: Callable[[], int],
+        max_queued: int,
+        reserve_ratio: float = 0.0,
+        max_starting: int = 0,
+    ) -> None:
         self.max_queued = max_queued
+        self.max_starting = max_starting
+        self._reserve_ratio = reserve_ratio
+        self._starting = 0
+        self._active_weight = 0.0
+        self._purged_at = 0.0
         self._limit = limit
         self._in_flight = 0
         self._queued = 0
@@ -126,12 +157,11 @@
         if deadline_s <= now:
             return Err(Code.DEADLINE_PASSED, "its deadline had passed on arrival")
         state = self._team(team, weight)
-        if not self._queued and self._in_flight < self._limit():
+        if not self._queued and self._may_start() and self._may_hold(state):
             return Ok(self._grant(state))
         waiter = _Waiter(state, priority, next(self._order))
         refused = self._check_wait(waiter, deadline_s - now) or self._make_room(waiter)
         if refused is not None:
-            self._forget_idle(state)
             return refused
         bisect.insort(state.waiting, waiter, key=_key)
         self._queued += 1
@@ -152,16 +182,38 @@
 
     def wake(self) -> None:
         """Grant the free slots to those that wait."""
-        while self._queued and self._in_flight < self._limit():
+        while self._queued and self._may_start():
             team = min(
-                (team for team in self._teams.values() if team.waiting),
+                (
+                    team
+                    for team in self._teams.values()
+                    if team.waiting and self._may_hold(team)
+                ),
                 key=lambda team: team.used_s,
+                default=None,
             )
+            if team is None:
+                return
             waiter = team.waiting[0]
-            self._remove(waiter, forget=False)
+            self._remove(waiter)
             waiter.outcome = Ok(self._grant(team))
             waiter.event.set()
 
+    def _may_start(self) -> bool:
+        if self.max_starting and self._starting >= self.max_starting:
+            return False
+        return self._in_flight < self._limit()
+
+    def _may_hold(self, team: _Team) -> bool:
+        """Say whether a free slot may go to a team, or is kept for smaller ones."""
+        limit = self._limit()
+        share = limit * team.weight / self._active_weight
+        if team.in_flight + 1 <= _RESERVE_SHARES * share:
+            return True
+        # At least one slot is open to all, or nothing would ever run.
+        reserve = min(math.ceil(limit * self._reserve_ratio), limit - 1)
+        return self._in_flight < limit - reserve
+
     def expected_wait_s(self, team: str, weight: float, priority: int) -> float:
         """Predict how long a request would wait now, in seconds; 0 when not known."""
         if self._in_flight < self._limit() and not self._queued:
@@ -218,24 +270,38 @@
         return None
 
     def _team(self, name: str, weight: float) -> _Team:
+        now = trio.current_time()
         team = self._teams.get(name)
         if team is None:
-            team = self._teams[name] = _Team(name, self._floor_s)
+            team = self._teams[name] = _Team(self._floor_s)
+            self._purged_at = float("-inf")
         elif not team.in_flight and not team.waiting:
             team.used_s = max(team.used_s, self._floor_s)
         # Weights below this would let a team's share round to nothing.
         team.weight = max(weight, 1e-3)
+        team.seen_at = now
+        if now >= self._purged_at + _PURGE_INTERVAL_S:
+            self._purge(now)
         return team
 
-    def _remove(self, waiter: _Waiter, *, forget: bool = True) -> None:
+    def _purge(self, now: float) -> None:
+        """Forget the teams that are no longer active, and add up the others."""
+        self._purged_at = now
+        self._teams = {
+            name: team
+            for name, team in self._teams.items()
+            if team.waiting or team.in_flight or team.seen_at > now - _ACTIVE_S
+        }
+        self._active_weight = sum(team.weight for team in self._teams.values())
+
+    def _remove(self, waiter: _Waiter) -> None:
         team = waiter.team
         del team.waiting[bisect.bisect_left(team.waiting, waiter.key, key=_key)]
         self._queued -= 1
-        if forget:
-            self._forget_idle(team)
 
     def _grant(self, team: _Team) -> Slot:
         self._in_flight += 1
+        self._starting += 1
         team.in_flight += 1
         self._floor_s = max(self._floor_s, team.used_s)
         # The time is not known yet; the release corrects the charge.
@@ -251,14 +317,11 @@
         change = max(_HOLD_WEIGHT, 1 / self._hold_samples)
         self._hold_s += (held_s - self._hold_s) * change
         self.wake()
-        self._forget_idle(team)
-
-    def _forget_idle(self, team: _Team) -> None:
-        """Drop a team that has nothing here and is not ahead of the others."""
-        if team.waiting or team.in_flight:
-            return
-        if team.used_s <= self._floor_s + _SHARE_TOLERANCE or len(self._teams) == 1:
-            self._teams.pop(team.name, None)
+
+    def _begun(self) -> None:
+        self._starting -= 1
+        if self.max_starting:
+            self.wake()
 
 
 def _backlog(team: _Team, more: int) -> float:
