Plug the rank's orders and the coordinator into the sidecar

The sidecar is the only process that sends orders to its upstream, so it runs the order desk and campaigns for its group.

--- a/src/mustardfront/programs/sidecar/_program.py
+++ b/src/mustardfront/programs/sidecar/_program.py
@@ -10,6 +10,7 @@
 
 from mustardfront.codes import Code
 from mustardfront.programs._runtime import Process
+from mustardfront.programs.sidecar._experts import serve_rank
 from mustardfront.programs.sidecar._health import Health
 from mustardfront.programs.sidecar._pauses import PauseMeter
 from mustardfront.programs.sidecar._peers import (
@@ -68,6 +69,7 @@
             nursery.start_soon(report_loads, side)
             nursery.start_soon(process.store.follow, partial(apply_config, side))
             nursery.start_soon(_follow_hosts, process, side)
+            nursery.start_soon(serve_rank, process, self._url)
             task_status.started({})
             await process.draining.wait()
             side.set_drain("signal", True)
--- a/tests/running.py
+++ b/tests/running.py
@@ -39,9 +39,11 @@
 STEP_LIMIT_S = 30
 
 
-def sidecar_flags(fleet: Fleet, url: str, kv_url: str, listen: str) -> list[str]:
+def sidecar_flags(
+    fleet: Fleet, url: str, kv_url: str, listen: str = "127.0.0.1:0", name: str = "w1"
+) -> list[str]:
     args = {
-        "upstream-name": "w1",
+        "upstream-name": name,
         "upstream-url": url,
         "peer-listen": listen,
         "host": "h1",
@@ -53,6 +55,19 @@
     return [part for name, value in args.items() for part in (f"--{name}", value)]
 
 
+async def start_sidecar(
+    fleet: Fleet, url: str, kv_url: str, name: str = "w1"
+) -> tuple[FleetProcess, str]:
+    """Start a sidecar; return it and its address once it knows its upstream."""
+    flags = sidecar_flags(fleet, url, kv_url, name=name)
+    module = "mustardfront.programs.sidecar"
+    side = await fleet.start(f"sidecar-{name}", module, *flags)
+    with trio.fail_after(STEP_LIMIT_S):
+        ready = await side.wait_event("process-ready")
+        await side.wait_event("upstream-state")
+    return side, ready["addresses"]["peer"]
+
+
 @dataclass
 class Served:
     """A stand-in, its sidecar and a caller of the sidecar."""
@@ -69,14 +84,9 @@
     async with Fleet() as fleet:
         upstream = await fleet.start_standin(name, name, *args)
         kv = await fleet.start_standin("kv", "kv")
-        flags = sidecar_flags(
-            fleet, upstream.ready["url"], kv.ready["url"], "127.0.0.1:0"
+        side, address = await start_sidecar(
+            fleet, upstream.ready["url"], kv.ready["url"]
         )
-        side = await fleet.start("sidecar", "mustardfront.programs.sidecar", *flags)
-        with trio.fail_after(STEP_LIMIT_S):
-            ready = await side.wait_event("process-ready")
-            await side.wait_event("upstream-state")
-        address = ready["addresses"]["peer"]
         async with caller(address) as one:
             await one.push(cfg or make_config())
             yield Served(fleet, upstream, side, address, one)
@@ -188,6 +198,12 @@
                 case other:
                     assert self.calls.dispatch(other) is None
 
+    async def settle(self) -> None:
+        """Wait until the sidecar answered, so that it has read what came before."""
+        with trio.fail_after(STEP_LIMIT_S):
+            got = await self.run(make_request(service="none"))
+        assert isinstance(got.last, Refused)
+
     async def push(self, cfg: Config) -> None:
         await self.conn.send(ConfigPush(cfg.version, config_to_bytes(cfg)))
 
--- a/tests/test_sidecar_processes.py
+++ b/tests/test_sidecar_processes.py
@@ -2,12 +2,15 @@
 
 import json
 import signal
+from dataclasses import replace
 
+import httpcore
 import trio
 
 from mustardfront.codes import Code
 from mustardfront.protocol import Cancelled, End, Refused
-from mustardfront.state import Config
+from mustardfront.state import Config, Group, Upstream
+from mustardfront_standins.fleet import Fleet, poll_until
 from mustardfront_standins.tokens import answer_tokens
 from running import (
     NOTHING,
@@ -18,6 +21,7 @@
     make_request,
     served,
     sidecar_flags,
+    start_sidecar,
 )
 
 
@@ -157,3 +161,35 @@
             req = make_request(method="GET", path=f"/bytes?{query}")
             got = await run.caller.run(req)
             assert len(got.body) == 3_000_000 and got.last.code == Code.ANSWERED
+
+
+async def test_group_forms_through_the_sidecars_of_its_ranks():
+    # Guards against orders that no sidecar carries out, or a group without coordinator.
+    async with Fleet() as fleet:
+        kv = await fleet.start_standin("kv", "kv")
+        exchange = await fleet.start_standin("x", "rank", "exchange", "--ranks", "2")
+        upstreams, urls, addresses = {}, [], []
+        for index in range(2):
+            flags = ["--index", str(index), "--exchange", exchange.ready["url"]]
+            name = f"w{index}"
+            rank = await fleet.start_standin(name, "rank", "serve", *flags)
+            urls.append(rank.ready["url"])
+            _, address = await start_sidecar(fleet, urls[-1], kv.ready["url"], name)
+            addresses.append(address)
+            upstreams[name] = Upstream("svc", "h1", address)
+        group = Group("svc", ("w0", "w1"), experts=4, slots_per_rank=2)
+        cfg = replace(make_config(), upstreams=upstreams, groups={"g": group})
+        for address in addresses:
+            async with caller(address) as one:
+                await one.push(cfg)
+                await one.settle()
+        async with httpcore.AsyncConnectionPool() as pool:
+
+            async def formed():
+                states = [
+                    json.loads((await pool.request("GET", f"{url}/rank/state")).content)
+                    for url in urls
+                ]
+                return all(state["map_version"] and state["step"] for state in states)
+
+            assert await poll_until(formed, 30)
