Test crashes that are learned while a request waits in the queue

Deliberate faults (15, one at a time) showed that two were noticed by no test: the second check of the quarantine and of the suspicion after the queue. Both are now.

--- a/tests/test_sidecar_attempts.py
+++ b/tests/test_sidecar_attempts.py
@@ -302,6 +302,24 @@
     assert not side.quarantine.crashes_of(b"a")
 
 
+@pytest.mark.parametrize(("crashes", "isolated"), [(0, False), (1, True), (2, False)])
+async def test_crashes_learned_in_the_queue_count(autojump_clock, crashes, isolated):
+    # Guards against a crash report that comes after admission being ignored.
+    cfg = make_config(max_in_flight=1)
+    side = await make_side(lambda call: FakeAnswer([1.0, DONE]), cfg)
+    attempt = make_attempt(completion("p", 1, fingerprint=b"f"))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(run, side, completion("p", 1))
+        await trio.sleep(0.1)
+        nursery.start_soon(run_attempt, side, attempt)
+        await trio.sleep(0.1)
+        for number in range(crashes):
+            side.quarantine.crashed(f"u{number}", "i", [b"f"])
+    assert attempt.isolated is isolated
+    held = attempt.conn.sent[-1].code == Code.REQUEST_HELD
+    assert held is (crashes == 2) is not attempt.handed_over
+
+
 async def crash_side(checks, answer):
     """Return a side with ``answer`` for calls, whose health checks give ``checks``."""
 
