Claim and record calls that must not be repeated

Calls with an idempotency key go through the partition owner: the owner's claim comes first, then the call runs as an attempt of its own, whose replies are collected for the record, so it goes on when its caller leaves. The owner gives its partitions away as soon as the upstream drains for any reason, because the entry looks for the next one. A test found that a resend was refused as not run while the upstream was down, although its first attempt had run; the key is now looked up before the health check.

--- a/src/mustardfront/programs/sidecar/_admission.py
+++ b/src/mustardfront/programs/sidecar/_admission.py
@@ -17,7 +17,7 @@
 
 
 def refusal(side: Sidecar, req: Request) -> Err | None:
-    """Return why a new request must be refused now, or None."""
+    """Return why a new request must be refused whatever its key says, or None."""
     cfg = side.store.current
     if cfg.version == 0:
         return Err(Code.NOT_READY, "no configuration in force yet")
@@ -28,11 +28,11 @@
         return Err(Code.NO_CAPABLE_UPSTREAM, f"no {req.service} at {side.upstream}")
     if req.deadline_ms == 0:
         return Err(Code.DEADLINE_PASSED, "the deadline passed before admission")
-    return unable(side, req)
+    return None
 
 
 def unable(side: Sidecar, req: Request) -> Err | None:
-    """Return why an admitted request must not start now, or None."""
+    """Return why a request must not start now, or None."""
     if req.fingerprint and side.quarantine.is_held(req.fingerprint):
         return Err(Code.REQUEST_HELD, "it crashed upstreams and is quarantined")
     if not side.healthy:
--- a/src/mustardfront/programs/sidecar/_attempt.py
+++ b/src/mustardfront/programs/sidecar/_attempt.py
@@ -3,25 +3,39 @@
 from __future__ import annotations
 
 import math
+from typing import Final, Protocol
 
 import trio
 
 from mustardfront.codes import Code, Outcome
 from mustardfront.protocol import (
     Cancelled,
+    Chunk,
     End,
     Message,
-    PeerConnection,
     Refused,
     Request,
 )
-from mustardfront.results import Err
+from mustardfront.results import Err, Result
+
+# Pieces of a plain body; a frame holds one with room for the rest of the message.
+PIECE_MAX_BYTES: Final = 256 * 1024
+
+
+class Replies(Protocol):
+    """What takes the replies to an attempt: a peer connection, or a collector."""
+
+    async def send(self, message: Message) -> Result[None]:
+        """Take a reply, when there is room."""
+
+    def send_nowait(self, message: Message) -> bool:
+        """Take a reply if there is room; say whether there was."""
 
 
 class Attempt:
     """A request from one connection, its deadline in trio time, and its progress."""
 
-    def __init__(self, req: Request, conn: PeerConnection, deadline_s: float) -> None:
+    def __init__(self, req: Request, conn: Replies, deadline_s: float) -> None:
         self.req = req
         self.conn = conn
         self.deadline_s = deadline_s
@@ -33,6 +47,10 @@
         self.lost = False
         # It ran as the only suspect of crashing upstreams.
         self.isolated = False
+        # It runs under a claim of its idempotency key.
+        self.claimed = False
+        # Its key's owner runs it, or knows of an earlier run.
+        self.delegated = False
         # The caller no longer listens, but the upstream's run goes on.
         self.detached = False
         # Its last reply is known.
@@ -61,7 +79,7 @@
         """
         if self.detached or self._cancelled or self.finished:
             return
-        if self.handed_over and not self.req.idempotent:
+        if self.delegated or (self.handed_over and not self.req.idempotent):
             self.detached = True
             self.add_credit(math.inf)
             self.conn.send_nowait(Cancelled(self.req.stream, started=True))
@@ -94,6 +112,14 @@
         if not self.conn.send_nowait(message):
             await self.conn.send(message)
 
+    async def send_body(self, data: bytes) -> None:
+        """Send part of a plain body, in pieces that fit into a frame."""
+        for start in range(0, len(data), PIECE_MAX_BYTES):
+            await self.take_credit()
+            piece = data[start : start + PIECE_MAX_BYTES]
+            await self.send(Chunk(self.req.stream, self.next_index, piece))
+            self.next_index += 1
+
     def refused(self, err: Err, retry_after_ms: int = 0) -> Refused:
         """Return a refusal, which is proof that the upstream saw nothing."""
         return Refused(
@@ -123,7 +149,7 @@
         if self._abort is not None:
             err = self._abort
             return self.ended(err) if self.handed_over else self.refused(err)
-        if self.handed_over:
+        if self.handed_over or self.delegated:
             err = Err(Code.UPSTREAM_TIMEOUT, "no whole answer before the deadline")
             return self.ended(err)
         return self.refused(Err(Code.DEADLINE_PASSED, "the deadline passed in queue"))
--- a/src/mustardfront/programs/sidecar/_program.py
+++ b/src/mustardfront/programs/sidecar/_program.py
@@ -12,6 +12,7 @@
 from mustardfront.programs._runtime import Process
 from mustardfront.programs.sidecar._experts import serve_rank
 from mustardfront.programs.sidecar._health import Health
+from mustardfront.programs.sidecar._owned import keep_owner
 from mustardfront.programs.sidecar._pauses import PauseMeter
 from mustardfront.programs.sidecar._peers import (
     crash_handler,
@@ -70,11 +71,12 @@
             nursery.start_soon(process.store.follow, partial(apply_config, side))
             nursery.start_soon(_follow_hosts, process, side)
             nursery.start_soon(serve_rank, process, self._url)
+            nursery.start_soon(keep_owner, side, process.kv, process.identity.instance)
             task_status.started({})
             await process.draining.wait()
             side.set_drain("signal", True)
             await process.stopping.wait()
-            while side.attempts:
+            while side.attempts or side.owner is not None:
                 await side.load_changed.wait()
             await _close_connections(process)
             nursery.cancel_scope.cancel()
--- a/src/mustardfront/programs/sidecar/_relay.py
+++ b/src/mustardfront/programs/sidecar/_relay.py
@@ -23,13 +23,12 @@
     EventParser,
     read_token,
 )
+from mustardfront.programs.sidecar._owned import must_be_claimed, run_claimed
 from mustardfront.programs.sidecar._side import Sidecar
 from mustardfront.programs.sidecar._upstream import Answer, UpstreamCall
 from mustardfront.protocol import Cancelled, Chunk, End, Head, Refused, Started
 from mustardfront.results import Err, Ok, Result
 
-# Pieces of a plain body; a frame holds one with room for the rest of the message.
-PIECE_MAX_BYTES: Final = 256 * 1024
 CANCEL_TIMEOUT_S: Final = 1.0
 # The upstream's own signs of too much work.
 OVERLOAD_STATUSES: Final = frozenset({429, 503})
@@ -69,6 +68,12 @@
     call = upstream_call(req)
     if isinstance(call, Err):
         return attempt.refused(call)
+    if must_be_claimed(req) and not attempt.claimed:
+        # Before the checks below, so that a resend gets its record in any case.
+        return await run_claimed(side, attempt, run_attempt)
+    err = unable(side, req)
+    if err is not None:
+        return attempt.refused(err, RETRY_AFTER_MS)
     while True:
         suspect = _is_suspect(side, attempt)
         async with _turn(side, suspect):
@@ -169,11 +174,7 @@
             return data
         if not data.value:
             break
-        for start in range(0, len(data.value), PIECE_MAX_BYTES):
-            await attempt.take_credit()
-            piece = data.value[start : start + PIECE_MAX_BYTES]
-            await attempt.send(Chunk(attempt.req.stream, attempt.next_index, piece))
-            attempt.next_index += 1
+        await attempt.send_body(data.value)
     if not head.length_known:
         text = "the answer has neither a length nor chunks, so it may be cut"
         return Err(Code.STREAM_CUT, text)
--- a/src/mustardfront/programs/sidecar/_side.py
+++ b/src/mustardfront/programs/sidecar/_side.py
@@ -12,6 +12,7 @@
 from mustardfront import events
 from mustardfront.codes import Code
 from mustardfront.coordination.config import ConfigStore
+from mustardfront.coordination.idempotency import PartitionOwner
 from mustardfront.coordination.limits import AdaptiveLimit, FairQueue, Slot
 from mustardfront.coordination.peers import PeerHub
 from mustardfront.coordination.quarantine import Quarantine
@@ -49,6 +50,8 @@
     latency_ms: float = 0.0
     # Held by the one suspect of crashing upstreams that may run at a time.
     suspect_turn: trio.Lock = field(default_factory=trio.Lock)
+    # Claims and records the calls of a plain service that must not be repeated.
+    owner: PartitionOwner | None = None
     drain_reasons: set[str] = field(default_factory=set)
     load_changed: trio.Event = field(default_factory=trio.Event)
     _acquiring: int = 0
--- a/tests/running.py
+++ b/tests/running.py
@@ -1,6 +1,9 @@
 """Programs started for a test, and a caller that speaks to a sidecar."""
 
 import json
+import os
+import time
+import uuid
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
@@ -97,7 +100,9 @@
         return await proc.process.wait()
 
 
-def make_config(version: int = 1, upstream_state: str = "active", **limits) -> Config:
+def make_config(
+    version: int = 1, upstream_state: str = "active", kind: str = "model", **limits
+) -> Config:
     ticket = ticket_from_data(
         {
             "ticket": 1,
@@ -106,7 +111,7 @@
             "set": {
                 "places": {"a": {"region": "bayern"}},
                 "hosts": {"h1": {"place": "a"}},
-                "services": {"svc": {"kind": "model"}},
+                "services": {"svc": {"kind": kind}},
                 "teams": {"lofts": {"key_sha256": "0" * 64, "services": ["svc"]}},
                 "upstreams": {
                     "w1": {
@@ -145,6 +150,19 @@
     return Request(**(fields | changes))
 
 
+def new_key() -> str:
+    """Return an idempotency key of this moment, in UUIDv7 form."""
+    random = int.from_bytes(os.urandom(10), "big") & ~(0xF << 76) & ~(0x3 << 62)
+    value = time.time_ns() // 1_000_000 << 80 | random | 0x7 << 76 | 0x2 << 62
+    return str(uuid.UUID(int=value))
+
+
+def booking(record: str, key: str = "", **changes) -> Request:
+    key = key or new_key()
+    path = f"/records/{record}"
+    return make_request(path=path, idempotent=False, idempotency_key=key, **changes)
+
+
 def completion(prompt: str, tokens: int, **changes) -> Request:
     body = json.dumps({"prompt": prompt, "max_tokens": tokens, "stream": True})
     return make_request(body=body.encode(), streamed=True, **changes)
--- a/tests/test_sidecar_processes.py
+++ b/tests/test_sidecar_processes.py
@@ -8,17 +8,19 @@
 import trio
 
 from mustardfront.codes import Code
-from mustardfront.protocol import Cancelled, End, Refused
+from mustardfront.protocol import Cancelled, End, Refused, Started
 from mustardfront.state import Config, Group, Upstream
 from mustardfront_standins.fleet import Fleet, poll_until
 from mustardfront_standins.tokens import answer_tokens
 from running import (
     NOTHING,
+    booking,
     caller,
     completion,
     exit_code,
     make_config,
     make_request,
+    new_key,
     served,
     sidecar_flags,
     start_sidecar,
@@ -136,23 +138,62 @@
 
 
 async def test_booking_runs_once_whatever_its_caller_does():
-    async with served("plain", "--delay-ms", "300") as run:
-        one = run.caller
-        book = make_request(path="/records/b1", idempotent=False)
+    cfg = make_config(kind="plain")
+    async with served("plain", "--delay-ms", "300", cfg=cfg) as run:
+        one, key = run.caller, new_key()
+        await one.run_when_up(booking("b0"))
         async with caller(run.address, "entry-2") as gone:
             with trio.move_on_after(0.1):
-                await gone.run(book)
+                await gone.run(booking("b1", key))
+        # The resend waits for the first attempt, and a later one reads its record.
+        resent = await one.run(booking("b1", key))
+        again = await one.run(booking("b1", key))
+        assert resent.body == again.body and json.loads(again.body)["runs"] == 1
+        assert again.last.code == Code.ANSWERED_FROM_RECORD
+        other = await one.run(booking("b1", key, body=b"{}"))
+        assert other.last.code == Code.KEY_CONFLICT and other.last.not_run
         with one.calls.open() as call:
-            await one.calls.start(call, make_request(path="/records/b2"))
-            await call.next_reply()
+            await one.calls.start(call, booking("b2", key2 := new_key()))
+            assert await call.next_reply() == Started(call.stream)
             await call.cancel()
-            assert isinstance(await call.next_reply(), Cancelled)
-        got = await one.run(make_request(method="GET", path="/records/b1"))
-        assert json.loads(got.body) == {"id": "b1", "runs": 1}
-        crash = make_request(path="/records/b3?crash=after", idempotent=False)
-        got = await one.run(crash)
-        assert got.last.code == Code.UPSTREAM_CRASHED
-        assert got.last.outcome == "unknown"
+            assert await call.next_reply() == Cancelled(call.stream, started=True)
+        got = await one.run(booking("b2", key2))
+        assert json.loads(got.body) == {"id": "b2", "runs": 1, "bytes": 0}
+        runs = await one.run(make_request(method="GET", path="/runs"))
+        assert json.loads(runs.body) == {"b0": 1, "b1": 1, "b2": 1}
+
+
+async def test_booking_whose_upstream_crashed_stays_unknown():
+    async with served("plain", cfg=make_config(kind="plain")) as run:
+        one, key = run.caller, new_key()
+        await one.run_when_up(booking("b0"))
+        for crash, code, not_run in (
+            ("b1?crash=after", Code.UPSTREAM_CRASHED, None),
+            ("b1?crash=after", Code.CLAIM_UNRESOLVED, False),
+        ):
+            got = await one.run(booking(crash, key))
+            assert got.last.code == code
+            assert getattr(got.last, "not_run", None) is not_run
+        listen = run.upstream.ready["address"]
+        await run.fleet.start_standin("plain-2", "plain", "--listen", listen)
+        await one.run_when_up(booking("b2"))
+        assert (await one.run(booking("b1?crash=after", key))).last.not_run is False
+
+
+async def test_sigterm_lets_a_booking_end():
+    cfg = make_config(kind="plain")
+    async with served("plain", "--delay-ms", "2500", cfg=cfg) as run:
+        await run.caller.run_when_up(make_request(method="GET", path="/records/b"))
+
+        async def stop():
+            await trio.sleep(0.5)
+            run.side.send_signal(signal.SIGTERM)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stop)
+            got = await run.caller.run(booking("b1"))
+        assert got.last.code == Code.ANSWERED
+        assert await exit_code(run.side) == 0
 
 
 async def test_large_body_arrives_whole():
