--- a/tests/test_config_processes.py
+++ b/tests/test_config_processes.py
@@ -156,7 +156,7 @@
         for flag, name in (("--listen", "listen"), ("--peer-listen", "peer")):
             address = ready["addresses"][name]
             second = await site.start(f"second-{name}", flag, address)
-            assert await exit_code(second) == 2
+            assert await exit_code(second) == 2, second.tail()
             with trio.fail_after(STEP_LIMIT_S):
                 refused = await second.wait_event("setting-refused")
             assert f"{flag} {address}" in refused["text"]
