--- a/src/mustardfront/programs/_runtime.py
+++ b/src/mustardfront/programs/_runtime.py
@@ -306,14 +306,12 @@
 
 
 def _bind(address: tuple[str, int]) -> Result[socket.socket]:
-    """Return a listening TCP socket; Err(ADDRESS_IN_USE) when that is not possible."""
+    """Return a bound TCP socket; Err(ADDRESS_IN_USE) when that is not possible."""
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(address)
-        # With SO_REUSEADDR only listening shows that the port is taken.
-        sock.listen()
     except OSError as exc:
         sock.close()
         return Err(Code.ADDRESS_IN_USE, f"{address[0]}:{address[1]}: {exc}")
