--- a/src/mustardfront/programs/entry/_forward.py
+++ b/src/mustardfront/programs/entry/_forward.py
@@ -197,7 +197,7 @@
     cfg: Config, req: CallerRequest, live: list[str], preferred: str
 ) -> Result[Decision]:
     """Send a non-idempotent request to the likely owner of its key's partition."""
-    partition = partition_of(req.service, req.idempotency_key)
+    partition = partition_of(req.idempotency_key)
     order = owner_order(req.service, partition, live)
     if not order:
         text = f"no live upstream of {req.service}"
