--- a/bench/routing_faults.py
+++ b/bench/routing_faults.py
@@ -105,8 +105,7 @@
             f"p99 TTFT over round robin's, {HERD}",
             "-",
             f"{herd.p99_s / figures[HERD, 'round_robin'].p99_s:.2f}",
-            f"{herd.p99_s:.2f} s against "
-            f"{figures[HERD, 'round_robin'].p99_s:.2f} s",
+            f"{herd.p99_s:.2f} s against {figures[HERD, 'round_robin'].p99_s:.2f} s",
             "no target",
         ),
     ]
