--- a/src/mustardfront/coordination/limits/__init__.py
+++ b/src/mustardfront/coordination/limits/__init__.py
@@ -1,1 +1,14 @@
-"""Limits, queues, shedding and retry budgets."""
+"""Limits and overload policy: concurrency, fair queue, retries, team limits."""
+
+from mustardfront.coordination.limits._adaptive import AdaptiveLimit
+from mustardfront.coordination.limits._budget import RetryBudget, TeamLimits
+from mustardfront.coordination.limits._queue import RESERVE_RATIO, FairQueue, Slot
+
+__all__ = [
+    "RESERVE_RATIO",
+    "AdaptiveLimit",
+    "FairQueue",
+    "RetryBudget",
+    "Slot",
+    "TeamLimits",
+]
--- /dev/null
+++ b/src/mustardfront/coordination/routing/_choose.py
@@ -0,0 +1,65 @@
+"""The routing decision."""
+
+from __future__ import annotations
+
+from mustardfront import events
+from mustardfront.codes import Code
+from mustardfront.coordination.routing._policy import Policy, default_policy
+from mustardfront.coordination.routing._state import UpstreamState
+from mustardfront.coordination.routing._table import UpstreamTable
+from mustardfront.coordination.routing._types import Decision, RouteRequest
+from mustardfront.results import Err, Ok, Result
+from mustardfront.state import Config
+
+
+def choose(
+    table: UpstreamTable,
+    cfg: Config,
+    req: RouteRequest,
+    exclude: frozenset[str] = frozenset(),
+    policy: Policy = default_policy,
+) -> Result[Decision]:
+    """Return the upstream for a request; Err(NO_CAPABLE_UPSTREAM) when none can.
+
+    ``exclude`` names upstreams that already failed this request.
+    """
+    service = cfg.services.get(req.service)
+    if service is None:
+        return Err(Code.UNKNOWN_SERVICE, f"no service {req.service}")
+    if req.model not in ("", service.model) or req.version not in ("", service.version):
+        text = f"{req.service} is {service.model} {service.version}"
+        return Err(Code.NO_CAPABLE_UPSTREAM, text)
+    capable = capable_upstreams(table, req, exclude)
+    if not capable:
+        return Err(Code.NO_CAPABLE_UPSTREAM, f"no upstream of {req.service} can run it")
+    state, reason, compared = policy(table, capable, req)
+    events.log(
+        events.Event.ROUTE_CHOSEN,
+        request_id=req.request_id,
+        service=req.service,
+        team=req.team,
+        upstream=state.name,
+        reason=reason,
+        capable=len(capable),
+        candidates=[
+            [item.upstream, round(item.load, 1), round(item.score, 3)]
+            for item in compared[: table.knobs.logged_candidates_max]
+        ],
+        config_version=cfg.version,
+    )
+    return Ok(Decision(state.name, state.address, reason, compared, cfg.version))
+
+
+def capable_upstreams(
+    table: UpstreamTable, req: RouteRequest, exclude: frozenset[str]
+) -> list[UpstreamState]:
+    """Return the upstreams that can take a request now."""
+    now = table.clock()
+    return [
+        state
+        for state in table.fronts(req.service)
+        if state.is_available(now)
+        and (not req.adapter or req.adapter in state.adapters)
+        and state.role in ("both", req.role)
+        and state.name not in exclude
+    ]
--- a/src/mustardfront/protocol/_peer.py
+++ b/src/mustardfront/protocol/_peer.py
@@ -41,18 +41,26 @@
 
 
 class PeerConnection:
-    """A connection after its handshake: a bounded send queue and a receive call."""
+    """A connection after its handshake: a bounded send queue and a receive call.
+
+    ``dialled`` is true when this process opened it.
+    """
 
     def __init__(
         self,
         frames: FrameStream,
         remote: Hello,
         queue: trio.MemorySendChannel[Message],
+        *,
+        dialled: bool,
     ) -> None:
         self.remote = remote
+        self.dialled = dialled
         self._frames = frames
         self._queue = queue
         self.closed: Err | None = None
+        # Time of the last frame; traffic of any kind shows that the peer is alive.
+        self.last_received_s = trio.current_time()
 
     async def send(self, message: Message) -> Result[None]:
         """Queue a message; wait while the queue is full."""
@@ -82,6 +90,7 @@
         frame = await self._frames.receive()
         if isinstance(frame, Err):
             return self._fail(frame)
+        self.last_received_s = trio.current_time()
         message = decode(frame.value)
         if isinstance(message, Err):
             return self._fail(message)
@@ -133,12 +142,12 @@
             yield hello
             return
         send, receive = trio.open_memory_channel[Message](SEND_QUEUE_MESSAGES)
-        conn = PeerConnection(frames, hello.value, send)
+        conn = PeerConnection(frames, hello.value, send, dialled=dialled)
         events.log(
             events.Event.PEER_CONNECTED,
             peer=hello.value.instance,
             role=hello.value.role,
-            host=hello.value.host,
+            peer_host=hello.value.host,
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_write, frames, receive, conn)
