Keep the rewritten part of an idempotency record under 1 KB

Each write repeats the head, which held up to 32 KB of entries and the list of segments. The head now has only the numbers of its first and last segment, and the owner learns their sizes and newest keys when it loads them, so the head's limit can be 1 KB.

Keys up to the floor are now dropped from memory at the look at the members and not in each write that deletes a segment.

--- a/src/mustardfront/constants.py
+++ b/src/mustardfront/constants.py
@@ -60,8 +60,9 @@
 CLAIM_GROUP_S: Final = 0.02
 # Results wait this long for a write that carries claims; then they get their own.
 RESULT_FLUSH_S: Final = 0.5
-# The newest part of a record is rewritten with each claim, so it is kept small.
-RECORD_HEAD_BYTES: Final = 32 * 1024
+# The newest part of a record is rewritten with each claim, so it is kept small: its
+# size sets the bytes written, and the number of segments of a full record (2,000).
+RECORD_HEAD_BYTES: Final = 1024
 # One transaction stays well under the service's limit of 1 MB.
 RECORD_WRITE_BYTES: Final = 512 * 1024
 # A full partition refuses new claims; 16 of these are a sole owner's memory.
--- a/src/mustardfront/coordination/idempotency/_owner.py
+++ b/src/mustardfront/coordination/idempotency/_owner.py
@@ -327,9 +327,7 @@
                     return result
             elif partition.hold is not Hold.TAKING:
                 partition.hold = Hold.OWNED if mine else Hold.RELEASING
-                segments = partition.head.segments
-                expired = segments and segments[0].newest_ms < self._expire_ms()
-                partition.stale = bool(expired)
+                partition.look_for_expired(self._expire_ms())
         return Ok(None)
 
     async def _take(self, number: int) -> Result[None]:
--- a/src/mustardfront/coordination/idempotency/_record.py
+++ b/src/mustardfront/coordination/idempotency/_record.py
@@ -10,9 +10,11 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from itertools import islice, takewhile
 from typing import Final, TypeAlias
 
 import msgspec
@@ -24,8 +26,6 @@
 
 Headers: TypeAlias = tuple[tuple[str, str], ...]
 PREFIX: Final = "/mustardfront/idem"
-# Keeps a transaction of 16 partitions within the service's 128 operations.
-SEGMENTS_DELETED_MAX: Final = 4
 
 
 class Claim(msgspec.Struct, frozen=True, array_like=True, tag="c"):
@@ -56,8 +56,9 @@
 Entry: TypeAlias = Claim | Done | Void
 
 
-class Segment(msgspec.Struct, frozen=True, array_like=True):
-    """An older part of the log: its number, its newest key's time, its size."""
+@dataclass(frozen=True, slots=True)
+class Segment:
+    """An older part of the log: its number, its newest key's time, its bytes."""
 
     number: int
     newest_ms: int
@@ -70,8 +71,9 @@
     owner: str = ""
     nonce: bytes = b""
     floor_ms: int = 0
+    # The segments are numbered from the first to before the next.
+    first_segment: int = 0
     next_segment: int = 0
-    segments: tuple[Segment, ...] = ()
     entries: tuple[Entry, ...] = ()
 
 
@@ -113,17 +115,17 @@
     revision: int
     head: Head
     index: dict[bytes, Known]
+    # Oldest first; their sizes together are ``size``.
+    segments: deque[Segment] = field(default_factory=deque)
+    size: int = 0
     hold: Hold = Hold.TAKING
     pending: list[Item] = field(default_factory=list)
     # Requests between their claim and their end.
     active: int = 0
     # Old segments wait for deletion although there is nothing to write.
     stale: bool = False
-
-    @property
-    def size(self) -> int:
-        """Return the bytes of the record, without the head."""
-        return sum(segment.size for segment in self.head.segments)
+    # The floor up to which the index was cleared.
+    _forgotten_ms: int = 0
 
     @property
     def is_dirty(self) -> bool:
@@ -132,6 +134,27 @@
         taking = self.hold is Hold.TAKING
         return bool(self.pending) or taking or releasable or self.stale
 
+    def look_for_expired(self, expire_ms: int) -> None:
+        """Forget keys up to the floor, and see whether a segment has expired."""
+        floor_ms = self.head.floor_ms
+        if floor_ms > self._forgotten_ms:
+            self._forgotten_ms = floor_ms
+            self.index = {
+                key: known
+                for key, known in self.index.items()
+                if known.claim.time_ms > floor_ms
+            }
+        self.stale = bool(self.segments) and self.segments[0].newest_ms < expire_ms
+
+    def add_segment(self, segment: Segment) -> None:
+        """Count a segment that is durable."""
+        self.segments.append(segment)
+        self.size += segment.size
+
+    def drop_segment(self) -> None:
+        """Forget the oldest segment, which was deleted."""
+        self.size -= self.segments.popleft().size
+
     def append(self, entry: Done | Void) -> None:
         """Queue an entry for the next write; it counts at once in this process."""
         self.pending.append(Item(entry))
@@ -145,6 +168,7 @@
     partition: Partition
     head: Head
     items: tuple[Item, ...]
+    sealed: Segment | None
     puts: Mapping[str, bytes]
     deletes: tuple[str, ...]
 
@@ -182,17 +206,20 @@
     head = read_head(value)
     if isinstance(head, Err):
         return head
-    index: dict[bytes, Known] = {}
-    for segment in head.value.segments:
-        key = segment_key(service, number, segment.number)
+    revision = value.mod_revision if value else 0
+    partition = Partition(service, number, revision, head.value, {})
+    for segment in range(head.value.first_segment, head.value.next_segment):
+        key = segment_key(service, number, segment)
         try:
             data = values[key].value
-            apply_entries(index, msgspec.msgpack.decode(data, type=tuple[Entry, ...]))
+            entries = msgspec.msgpack.decode(data, type=tuple[Entry, ...])
         except (KeyError, msgspec.DecodeError) as exc:
             return Err(Code.INTERNAL_ERROR, f"segment {key} is damaged: {exc!r}")
-    apply_entries(index, head.value.entries)
-    revision = value.mod_revision if value else 0
-    return Ok(Partition(service, number, revision, head.value, index))
+        apply_entries(partition.index, entries)
+        newest_ms = max(_times(partition, entries))
+        partition.add_segment(Segment(segment, newest_ms, len(data)))
+    apply_entries(partition.index, head.value.entries)
+    return Ok(partition)
 
 
 def apply_entries(index: dict[bytes, Known], entries: Iterable[Entry]) -> None:
@@ -212,12 +239,18 @@
 
 
 def plan_change(
-    partition: Partition, owner: str, nonce: bytes, expire_ms: int, limit_bytes: int
+    partition: Partition,
+    owner: str,
+    nonce: bytes,
+    expire_ms: int,
+    limits: tuple[int, int],
 ) -> Change:
-    """Return the change that writes pending items up to about ``limit_bytes``.
+    """Return the change that writes pending items.
 
-    Segments whose keys are all older than ``expire_ms`` are deleted.
+    ``limits`` are about how many bytes it may write, and how many segments it may
+    delete; those whose keys are all older than ``expire_ms`` are.
     """
+    limit_bytes, limit_deletes = limits
     items: list[Item] = []
     size = 0
     for item in partition.pending:
@@ -229,54 +262,36 @@
     if partition.hold is Hold.RELEASING and last:
         owner = ""
     old = partition.head
-    entries = (*old.entries, *(item.entry for item in items))
     # Segments go in their order, so an answer never outlives its claim's segment.
-    expired = 0
-    while (
-        expired < min(len(old.segments), SEGMENTS_DELETED_MAX)
-        and old.segments[expired].newest_ms < expire_ms
-    ):
-        expired += 1
-    dead, kept = old.segments[:expired], old.segments[expired:]
+    dead = list(
+        takewhile(
+            lambda segment: segment.newest_ms < expire_ms,
+            islice(partition.segments, limit_deletes),
+        )
+    )
+    entries = (*old.entries, *(item.entry for item in items))
     head = Head(
         owner,
         nonce,
         max([old.floor_ms, *(segment.newest_ms for segment in dead)]),
+        old.first_segment + len(dead),
         old.next_segment,
-        kept,
         entries,
     )
-    key = head_key(partition.service, partition.number)
-    puts = {}
+    service, number = partition.service, partition.number
+    puts, sealed = {}, None
     data = msgspec.msgpack.encode(head)
     if len(data) > RECORD_HEAD_BYTES and entries:
-        sealed = msgspec.msgpack.encode(entries)
+        packed = msgspec.msgpack.encode(entries)
         newest_ms = max(_times(partition, entries))
-        segment = Segment(head.next_segment, newest_ms, len(sealed))
-        puts[segment_key(partition.service, partition.number, segment.number)] = sealed
-        head = msgspec.structs.replace(
-            head,
-            next_segment=head.next_segment + 1,
-            segments=(*kept, segment),
-            entries=(),
-        )
+        sealed = Segment(head.next_segment, newest_ms, len(packed))
+        puts[segment_key(service, number, sealed.number)] = packed
+        next_segment = head.next_segment + 1
+        head = msgspec.structs.replace(head, next_segment=next_segment, entries=())
         data = msgspec.msgpack.encode(head)
-    puts[key] = data
-    deletes = tuple(
-        segment_key(partition.service, partition.number, segment.number)
-        for segment in dead
-    )
-    return Change(partition, head, tuple(items), puts, deletes)
-
-
-def forget_expired(partition: Partition) -> None:
-    """Drop the keys up to the floor from the index."""
-    floor_ms = partition.head.floor_ms
-    expired = [
-        key for key, known in partition.index.items() if known.claim.time_ms <= floor_ms
-    ]
-    for key in expired:
-        del partition.index[key]
+    puts[head_key(service, number)] = data
+    deletes = tuple(segment_key(service, number, segment.number) for segment in dead)
+    return Change(partition, head, tuple(items), sealed, puts, deletes)
 
 
 def _times(partition: Partition, entries: Iterable[Entry]) -> Iterable[int]:
--- a/src/mustardfront/coordination/idempotency/_writer.py
+++ b/src/mustardfront/coordination/idempotency/_writer.py
@@ -26,7 +26,6 @@
     Partition,
     Void,
     apply_entry,
-    forget_expired,
     head_key,
     plan_change,
     read_head,
@@ -37,6 +36,9 @@
 _NONCE_BYTES: Final = 8
 _WRITE_ATTEMPTS: Final = 3
 _CHANGE_BYTES: Final = RECORD_WRITE_BYTES // 4
+# With a head and a new segment for each of 16 partitions, a transaction stays within
+# the service's 128 operations.
+_DELETES_MAX: Final = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,16 +96,19 @@
         return result
 
     def _plan(self) -> _Write | None:
-        nonce, changes, size = secrets.token_bytes(_NONCE_BYTES), [], 0
+        nonce, changes = secrets.token_bytes(_NONCE_BYTES), []
+        size, deletes = 0, _DELETES_MAX
         dirty = [entry for entry in self.owned.values() if entry.is_dirty]
         for partition in sorted(dirty, key=lambda entry: entry.revision):
             if size > RECORD_WRITE_BYTES - 2 * _CHANGE_BYTES:
                 break
+            limits = (_CHANGE_BYTES, deletes)
             change = plan_change(
-                partition, self._owner, nonce, self._expire_ms(), _CHANGE_BYTES
+                partition, self._owner, nonce, self._expire_ms(), limits
             )
             changes.append(change)
             size += change.size
+            deletes -= len(change.deletes)
         return _Write(nonce, tuple(changes)) if changes else None
 
     async def _settle(self, write: _Write) -> Result[None]:
@@ -177,10 +182,13 @@
         self._unresolved = None
         for change in write.changes:
             partition = change.partition
-            old_floor_ms = partition.head.floor_ms
             partition.revision = revision
             partition.head = change.head
             partition.stale = False
+            for _ in change.deletes:
+                partition.drop_segment()
+            if change.sealed is not None:
+                partition.add_segment(change.sealed)
             del partition.pending[: len(change.items)]
             voided = [item for item in change.items if _apply_item(partition, item)]
             # Before any new claim of the same key that waits already.
@@ -191,8 +199,6 @@
             if not partition.head.owner:
                 del self.owned[partition.number]
                 self._log(events.Event.PARTITION_RELEASED, partition)
-            if partition.head.floor_ms > old_floor_ms:
-                forget_expired(partition)
 
     def _discard(self, write: _Write) -> None:
         """Forget a write that has not taken effect and never will."""
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -319,6 +319,32 @@
         assert (Code.SHED, Outcome.NOT_RUN) in codes
 
 
+async def test_new_owner_reads_all_segments(autojump_clock):
+    # Guards against a takeover that loads only the newest part of the record.
+    async with fleet() as test:
+        first, _, scope = await test.start("a")
+        keys = [
+            key
+            for key in map(make_key, range(400))
+            if partition_of(key) == partition_of(make_key(0))
+        ]
+        for key in keys:
+            answer = Execution(Outcome.ANSWERED, Code.ANSWERED, body=key.encode() * 9)
+            await test.run(first, key, answer)
+        await trio.sleep(2)
+        prefix = f"/mustardfront/idem/ledger/{partition_of(keys[0]):02d}/".encode()
+        assert len(test.store.get_range(prefix, prefix + b"\xff")) > 3
+        scope.cancel()
+        second, _, _ = await test.start("a", "a-2")
+        for key in keys:
+            again = await test.run(second, key)
+            assert (again.code, again.body) == (
+                Code.ANSWERED_FROM_RECORD,
+                key.encode() * 9,
+            )
+        assert sorted(test.runs) == sorted(keys)
+
+
 @pytest.mark.parametrize(
     ("result", "again"),
     [
