Test the command line's exit codes, races and lost answers

Scripted answers stand in for the administration APIs and entries. Guards against a ticket that is reported as refused while it may be accepted, and a drain that takes back what a faster operator changed.

--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,135 @@
+"""The command line against scripted answers: exit codes, races, lost answers."""
+
+import json
+
+import pytest
+from click.testing import CliRunner
+
+from mustardfront.codes import Code
+from mustardfront.programs.cli import _client, main
+from mustardfront.results import Err, Ok
+
+ADMINS = ("--admin", "http://127.0.0.1:1", "--admin", "http://127.0.0.1:2")
+LOST = Err(Code.WRITE_UNKNOWN, "lost")
+DOWN = Err(Code.CONNECT_FAILED, "refused")
+STORE_DOWN = Err(Code.STORE_UNAVAILABLE, "down")
+RACED = Err(Code.TICKET_RACED, "another was first")
+ACCEPTED = Ok({"number": 1, "digest": "d", "repeated": False})
+TICKET = {"ticket": 1, "author": "a", "reason": "r", "set": {}}
+
+
+class Script:
+    """Answers to calls by method and path, in order; the last one repeats."""
+
+    def __init__(self, answers: dict) -> None:
+        self.answers = {call: list(given) for call, given in answers.items()}
+        self.posted: list[dict] = []
+
+    def request(self, method: str, url: str, body: bytes | None):
+        path = url.split("/", 3)[3]
+        if body is not None:
+            self.posted.append(json.loads(body))
+        given = self.answers[f"{method} {path}"]
+        return given.pop(0) if len(given) > 1 else given[0]
+
+
+@pytest.fixture
+def run(monkeypatch):
+    def start(answers: dict, *args: str):
+        script = Script(answers)
+        monkeypatch.setattr(_client, "_request", script.request)
+        result = CliRunner().invoke(main, [*ADMINS, *args])
+        return result, script
+
+    return start
+
+
+@pytest.mark.parametrize(
+    ("answers", "code"),
+    [
+        ([ACCEPTED], 0),
+        ([DOWN, ACCEPTED], 0),
+        ([STORE_DOWN, ACCEPTED], 0),
+        ([DOWN], 3),
+        ([STORE_DOWN], 3),
+        ([RACED], 1),
+        # After a lost answer only a clear answer about this ticket counts.
+        ([LOST, ACCEPTED], 0),
+        ([LOST, DOWN, RACED], 1),
+        ([LOST, DOWN], 4),
+        ([LOST, STORE_DOWN], 4),
+        ([LOST], 4),
+        ([DOWN, LOST, DOWN, DOWN, DOWN, DOWN], 4),
+    ],
+)
+def test_submission_exit_code_says_what_is_known(run, tmp_path, answers, code):
+    file = tmp_path / "t.json"
+    file.write_text(json.dumps(TICKET))
+    result, _script = run({"POST v1/tickets": answers}, "ticket", "submit", str(file))
+    assert result.exit_code == code, result.output
+
+
+def test_drain_reads_the_host_again_after_a_race(run):
+    # Guards against a ticket that takes back what the faster operator changed.
+    first = {"version": 4, "entry": {"place": "pa", "state": "active"}}
+    then = {"version": 5, "entry": {"place": "pb", "state": "active"}}
+    result, script = run(
+        {
+            "GET v1/config/hosts/h1": [Ok(first), Ok(first), Ok(then)],
+            "POST v1/tickets": [RACED, ACCEPTED],
+        },
+        *("drain", "h1", "--author", "hanna"),
+    )
+    assert result.exit_code == 0, result.output
+    assert [ticket["ticket"] for ticket in script.posted] == [5, 6]
+    assert script.posted[1]["set"] == {
+        "hosts": {"h1": {"place": "pb", "state": "draining"}}
+    }
+    assert script.posted[1]["author"] == "hanna"
+
+
+def test_drain_of_a_draining_host_writes_nothing(run):
+    entry = {"version": 4, "entry": {"place": "pa", "state": "draining"}}
+    result, script = run({"GET v1/config/hosts/h1": [Ok(entry)]}, "drain", "h1")
+    assert result.exit_code == 0 and not script.posted
+
+
+def test_replay_leaves_out_removals_of_what_is_gone(run):
+    old = {"ticket": 2, "set": {}, "remove": {"hosts": ["h1", "h2"]}}
+    result, script = run(
+        {
+            "GET v1/tickets/2": [Ok(old)],
+            "GET v1/config/places": [Ok({"version": 7, "names": []})],
+            "GET v1/config/hosts": [Ok({"version": 7, "names": ["h2", "h3"]})],
+            "POST v1/tickets": [ACCEPTED],
+        },
+        *("ticket", "replay", "2"),
+    )
+    assert result.exit_code == 0, result.output
+    assert script.posted[0]["ticket"] == 8
+    assert script.posted[0]["remove"] == {"hosts": ["h2"]}
+
+
+@pytest.mark.parametrize(
+    ("answers", "code", "text"),
+    [
+        ([Ok([{"event": 300, "name": "ROUTE_CHOSEN", "upstream": "w1"}])], 0, "w1"),
+        ([Err(Code.REQUEST_NOT_FOUND, "not found"), DOWN], 1, "REQUEST_NOT_FOUND"),
+        ([DOWN, Ok([{"event": 301}])], 0, "event=301"),
+        ([DOWN], 3, "CONNECT_FAILED"),
+    ],
+)
+def test_explain_asks_every_entry(run, answers, code, text):
+    entries = ("--entry", "http://127.0.0.1:3", "--entry", "http://127.0.0.1:4")
+    result, _script = run({"GET explain/r%2F1": answers}, "explain", "r/1", *entries)
+    assert result.exit_code == code
+    assert text in result.output
+
+
+def test_status_shows_who_is_behind(run):
+    row = {"role": "entry", "place": "pa", "state": "live"}
+    rows = [row | {"host": "e1", "version": 3}, row | {"host": "e2", "version": None}]
+    data = {"accepted": 3, "error": "", "processes": rows}
+    result, _script = run({"GET v1/status": [Ok(data)]}, "status")
+    assert "accepted version 3; 2 processes, 1 without it" in result.output
+    assert result.output.splitlines()[-1].split() == ["e2", "entry", "pa", "live", "-"]
