Drop a check that never applies in the host list's poll

task_status is never None; starting it a second time is what TASK_STATUS_IGNORED is for. No change of behaviour: tests/test_hosts.py passes.

--- a/src/mustardfront/coordination/hosts/_list.py
+++ b/src/mustardfront/coordination/hosts/_list.py
@@ -140,9 +140,8 @@
                     self.bytes_read += page.value.size
                     self.update(page.value.entries)
                     wait = max(POLL_MIN_S, page.value.size / POLL_BYTES_PER_S)
-            if task_status is not None:
-                task_status.started()
-                task_status = trio.TASK_STATUS_IGNORED
+            task_status.started()
+            task_status = trio.TASK_STATUS_IGNORED
             await trio.sleep(wait * self._rng.uniform(0.8, 1.2))
 
 
