--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -243,6 +243,7 @@
     )
 
 
+@settings(derandomize=True)
 @given(st.binary(max_size=60))
 def test_random_push_is_refused(data):
     assert isinstance(apply_push(Config(), data), Err)
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -82,6 +82,7 @@
     assert name in result.text and place in result.text
 
 
+@settings(derandomize=True)
 @given(st.binary(max_size=100))
 def test_random_bytes_are_refused_with_a_code(data):
     # Guards against an exception type that would end the admin process's request.
