--- a/src/mustardfront/coordination/limits/_queue.py
+++ b/src/mustardfront/coordination/limits/_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import bisect
+import heapq
 import itertools
 from collections.abc import Callable
 from types import TracebackType
@@ -108,6 +109,8 @@
         self.max_queued = max_queued
         self._reserve_ratio = reserve_ratio
         self._active_weight = 0.0
+        # Waiting teams by slot time, as (slot time, order, team); see ``_next_team``.
+        self._ranking: list[tuple[float, int, _Team]] = []
         self._purged_at = 0.0
         self._limit = limit
         self._in_flight = 0
@@ -152,6 +155,8 @@
             return refused
         bisect.insort(state.waiting, waiter, key=_key)
         self._queued += 1
+        if len(state.waiting) == 1:
+            self._rank(state)
         self.wake()
         try:
             with trio.move_on_at(deadline_s):
@@ -169,22 +174,42 @@
 
     def wake(self) -> None:
         """Grant the free slots to those that wait."""
-        while self._queued:
-            team = min(
-                (
-                    team
-                    for team in self._teams.values()
-                    if team.waiting and self._may_hold(team)
-                ),
-                key=lambda team: team.used_s,
-                default=None,
-            )
+        skipped: list[_Team] = []
+        while self._queued and self._in_flight < self._limit():
+            team = self._next_team()
             if team is None:
-                return
+                break
+            if not self._may_hold(team):
+                skipped.append(team)
+                continue
             waiter = team.waiting[0]
             self._remove(waiter)
             waiter.outcome = Ok(self._grant(team))
             waiter.event.set()
+        for team in skipped:
+            self._rank(team)
+
+    def _next_team(self) -> _Team | None:
+        """Take the waiting team with the least slot time out of the ranking."""
+        while self._ranking:
+            used_s, _, team = heapq.heappop(self._ranking)
+            # An entry is out of date once its team was charged or waits no more.
+            if team.waiting and used_s == team.used_s:
+                return team
+        return None
+
+    def _rank(self, team: _Team) -> None:
+        """Enter a waiting team into the ranking under its present slot time."""
+        if not team.waiting:
+            return
+        heapq.heappush(self._ranking, (team.used_s, next(self._order), team))
+        if len(self._ranking) > 4 * len(self._teams) + 64:
+            self._ranking = [
+                (team.used_s, next(self._order), team)
+                for team in self._teams.values()
+                if team.waiting
+            ]
+            heapq.heapify(self._ranking)
 
     def _may_hold(self, team: _Team) -> bool:
         """Say whether there is a slot for a team that is not kept for smaller ones."""
@@ -222,6 +247,8 @@
 
     def _check_wait(self, waiter: _Waiter, left_s: float) -> Err | None:
         team = waiter.team
+        if self._hold_s * (self._queued + 1) <= left_s * self._limit():
+            return None
         own_ahead = bisect.bisect_left(team.waiting, waiter.key, key=_key)
         wait_s = self._wait_s(team, team.weight, own_ahead)
         if wait_s <= left_s:
@@ -257,11 +284,13 @@
         team = self._teams.get(name)
         if team is None:
             team = self._teams[name] = _Team(self._floor_s)
-            self._purged_at = float("-inf")
+            self._active_weight += team.weight
         elif not team.in_flight and not team.waiting:
             team.used_s = max(team.used_s, self._floor_s)
         # Weights below this would let a team's share round to nothing.
-        team.weight = max(weight, 1e-3)
+        weight = max(weight, 1e-3)
+        self._active_weight += weight - team.weight
+        team.weight = weight
         team.seen_at = now
         if now >= self._purged_at + _PURGE_INTERVAL_S:
             self._purge(now)
@@ -289,12 +318,14 @@
         # The time is not known yet; the release corrects the charge.
         charged_s = self._hold_s or 1.0
         team.used_s += charged_s / team.weight
+        self._rank(team)
         return Slot(self, team, charged_s)
 
     def _release(self, team: _Team, held_s: float, charged_s: float) -> None:
         self._in_flight -= 1
         team.in_flight -= 1
         team.used_s += (held_s - charged_s) / team.weight
+        self._rank(team)
         self._hold_samples += 1
         change = max(_HOLD_WEIGHT, 1 / self._hold_samples)
         self._hold_s += (held_s - self._hold_s) * change
--- a/src/mustardfront/coordination/routing/__init__.py
+++ b/src/mustardfront/coordination/routing/__init__.py
@@ -2,7 +2,7 @@
 
 from mustardfront.coordination.routing._baselines import BASELINES
 from mustardfront.coordination.routing._choose import capable_upstreams, choose
-from mustardfront.coordination.routing._hashing import rendezvous_score, upstream_hash
+from mustardfront.coordination.routing._hashing import rendezvous_scores, upstream_hash
 from mustardfront.coordination.routing._knobs import RoutingKnobs
 from mustardfront.coordination.routing._policy import Policy, default_policy
 from mustardfront.coordination.routing._state import UpstreamState
@@ -21,6 +21,6 @@
     "capable_upstreams",
     "choose",
     "default_policy",
-    "rendezvous_score",
+    "rendezvous_scores",
     "upstream_hash",
 ]
--- a/src/mustardfront/coordination/routing/_baselines.py
+++ b/src/mustardfront/coordination/routing/_baselines.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from types import MappingProxyType
 
-from mustardfront.coordination.routing._hashing import rendezvous_score
+from mustardfront.coordination.routing._hashing import rendezvous_scores
 from mustardfront.coordination.routing._policy import Choice, Policy
 from mustardfront.coordination.routing._state import UpstreamState
 from mustardfront.coordination.routing._table import UpstreamTable
@@ -69,10 +69,8 @@
     ) -> Choice:
         if not req.prefix:
             return table.rng.choice(capable), "random", ()
-        best = max(
-            capable, key=lambda state: rendezvous_score(req.prefix, state.name_hash)
-        )
-        return best, "prefix", ()
+        scores = rendezvous_scores(req.prefix, (item.name_hash for item in capable))
+        return capable[scores.index(max(scores))], "prefix", ()
 
     return pick
 
--- a/src/mustardfront/coordination/routing/_choose.py
+++ b/src/mustardfront/coordination/routing/_choose.py
@@ -55,11 +55,13 @@
 ) -> list[UpstreamState]:
     """Return the upstreams that can take a request now."""
     now = table.clock()
-    return [
+    capable = [
         state
         for state in table.fronts(req.service)
-        if state.is_available(now)
-        and (not req.adapter or req.adapter in state.adapters)
-        and state.role in ("both", req.role)
-        and state.name not in exclude
+        if state.available_at <= now and state.role in ("both", req.role)
     ]
+    if req.adapter:
+        capable = [state for state in capable if req.adapter in state.adapters]
+    if exclude:
+        capable = [state for state in capable if state.name not in exclude]
+    return capable
--- a/src/mustardfront/coordination/routing/_hashing.py
+++ b/src/mustardfront/coordination/routing/_hashing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import xxhash
 
 _MASK = (1 << 64) - 1
@@ -14,7 +16,10 @@
     return xxhash.xxh3_64_intdigest(name.encode())
 
 
-def rendezvous_score(prefix: int, name_hash: int) -> int:
-    """Return the score of an upstream for a prefix; the highest is preferred."""
-    mixed = ((prefix ^ name_hash) * _MIX) & _MASK
-    return ((mixed ^ (mixed >> 27)) * _MIX) & _MASK
+def rendezvous_scores(prefix: int, name_hashes: Iterable[int]) -> list[int]:
+    """Return the score of each upstream for a prefix; the highest is preferred."""
+    # One expression for all: a call for each upstream would take most of the time.
+    return [
+        (((mixed := ((prefix ^ name) * _MIX) & _MASK) ^ (mixed >> 27)) * _MIX) & _MASK
+        for name in name_hashes
+    ]
--- a/src/mustardfront/coordination/routing/_knobs.py
+++ b/src/mustardfront/coordination/routing/_knobs.py
@@ -23,7 +23,7 @@
     choices_count: int = 2
     prefix_load_bound_ratio: float = 1.2
     # Above this utilisation a request would wait, which costs more than a miss.
-    prefix_utilisation_max: float = 1.05
+    prefix_utilisation_max: float = 1.12
     # Upstreams tried in a prefix's order; each of them comes to cache the prefix.
     prefix_tries_count: int = 3
     spill_load_ratio: float = 1.1
--- a/src/mustardfront/coordination/routing/_state.py
+++ b/src/mustardfront/coordination/routing/_state.py
@@ -35,6 +35,8 @@
         "_own_history",
         "adapters",
         "address",
+        "available_at",
+        "capacity",
         "down_until",
         "draining",
         "health",
@@ -84,13 +86,20 @@
         self.latency = Smoothed()
         self.ttft = Smoothed()
         self.slow = 1.0
+        # Load it can carry, lowered while it is slow or returning; kept up to date by
+        # the table.
+        self.capacity = 1.0
         self.health = Health()
+        # From when it may get requests; infinite while that depends on an event.
+        self.available_at = NEVER
 
     def count(self, now: float, change: int, lag_s: float) -> None:
         """Change the number of own requests in flight."""
         self.in_flight = max(0, self.in_flight + change)
         self._own_history.append((now, self.in_flight))
         self._trim(now - lag_s)
+        if self.health.probing:
+            self.update_availability()
 
     def own_at(self, when: float) -> int:
         """Return the own requests in flight at ``when``, within the lag."""
@@ -119,14 +128,14 @@
         blend = knobs.own_blend_ratio if own_share else 0.0
         return blend * scaled + (1 - blend) * reported
 
-    def capacity(self, now: float, knobs: RoutingKnobs) -> float:
-        """Return the load it can carry, lowered while it is slow or returning."""
-        return self.limit * self.health.weight(now, knobs) / self.slow
-
-    def is_available(self, now: float) -> bool:
-        """Say whether it may get a request at ``now``."""
-        if self.draining or self.leaving or not self.report_ready:
-            return False
-        if now < self.down_until or now < self.health.ejected_until:
-            return False
-        return not (self.health.probing and self.in_flight)
+    def update_capacity(self, now: float, knobs: RoutingKnobs) -> None:
+        """Compute the capacity from limit, slow start and speed."""
+        self.capacity = self.limit * self.health.weight(now, knobs) / self.slow
+
+    def update_availability(self) -> None:
+        """Compute ``available_at``; called after each change of what it depends on."""
+        busy_probe = self.health.probing and self.in_flight > 0
+        if self.draining or self.leaving or not self.report_ready or busy_probe:
+            self.available_at = float("inf")
+        else:
+            self.available_at = max(self.down_until, self.health.ejected_until)
--- a/src/mustardfront/coordination/routing/_table.py
+++ b/src/mustardfront/coordination/routing/_table.py
@@ -15,24 +15,29 @@
 
 # States in a load report of an upstream that takes new requests.
 READY_STATES = frozenset({"", "ready", "live", "up", "active"})
-# Speeds and shares of a service's upstreams are computed this often.
-_COMPARE_INTERVAL_S = 0.25
+# What is computed over all upstreams of a service is kept for this long, as it takes
+# longer than a decision.
+_OVERVIEW_S = 0.1
 # Differences of less than this many seconds do not make an upstream slow.
 _SPEED_FLOOR_S = 0.01
 
 
-class _Service:
+class Overview:
     """A service's upstreams in name order, and what is computed over all of them."""
 
-    __slots__ = ("own_shares", "shares_at", "speed_at", "states")
+    __slots__ = ("at", "own_shares", "states", "utilisation", "utilisation_by_region")
 
     def __init__(
         self, states: tuple[UpstreamState, ...], own_shares: dict[str, float]
     ) -> None:
         self.states = states
+        # This process's share of the load, by place. Entries prefer near upstreams,
+        # so it differs by place. The last known one stays when reports are stale.
         self.own_shares = own_shares
-        self.shares_at = NEVER
-        self.speed_at = NEVER
+        self.at = NEVER
+        # Load as a share of capacity, of the available upstreams.
+        self.utilisation = 0.0
+        self.utilisation_by_region: dict[str, float] = {}
 
 
 class UpstreamTable:
@@ -52,13 +57,13 @@
         self.knobs = knobs or RoutingKnobs()
         self.rng = rng or random.Random()
         self._states: dict[str, UpstreamState] = {}
-        self._services: dict[str, _Service] = {}
+        self._overviews: dict[str, Overview] = {}
         self._regions: dict[str, str] = {}
 
     def update_config(self, cfg: Config) -> None:
         """Take over the upstreams of a configuration; keep what is known of them."""
         states: dict[str, UpstreamState] = {}
-        services: dict[str, _Service] = {}
+        services: dict[str, Overview] = {}
         ranks_of = {group.ranks[0]: group.ranks for group in cfg.groups.values()}
         for service in cfg.services:
             names = cfg.fronts(service)
@@ -68,13 +73,14 @@
                 # A group works in lock-step: when one rank drains, it all drains.
                 ranks = ranks_of.get(name, (name,))
                 state.draining = any(cfg.is_draining(rank) for rank in ranks)
+                state.update_availability()
                 states[name] = state
-            old = self._services.get(service)
-            services[service] = _Service(
+            old = self._overviews.get(service)
+            services[service] = Overview(
                 tuple(states[name] for name in names), old.own_shares if old else {}
             )
         self._states = states
-        self._services = services
+        self._overviews = services
         self._regions = {name: place.region for name, place in cfg.places.items()}
 
     def _configure(self, state: UpstreamState, cfg: Config, service: str) -> None:
@@ -91,7 +97,7 @@
 
     def fronts(self, service: str) -> tuple[UpstreamState, ...]:
         """Return the states of the upstreams that take a service's requests."""
-        known = self._services.get(service)
+        known = self._overviews.get(service)
         return known.states if known else ()
 
     def region_of(self, place: str) -> str:
@@ -119,6 +125,7 @@
         state.report_latency_s = report.latency_ms / 1_000
         if report.limit > 0:
             state.limit = report.limit
+        state.update_availability()
 
     def leaving(self, upstream: str) -> None:
         """Stop choosing an upstream until it reconnects or reports a new start."""
@@ -126,6 +133,7 @@
         if state is None or state.leaving:
             return
         state.leaving = True
+        state.update_availability()
         events.log(events.Event.UPSTREAM_LEAVING, upstream=upstream)
 
     def connected(self, upstream: str, up: bool) -> None:
@@ -144,12 +152,14 @@
             state.down_until = NEVER
             state.leaving = False
             state.report_ready = True
+            state.update_availability()
             return
         knobs = self.knobs
         delay = min(knobs.reconnect_base_s * 2.0**state.lost, knobs.reconnect_max_s)
         state.lost += 1
         state.down_until = self.clock() + delay
         state.report_at = NEVER
+        state.update_availability()
 
     def started(self, upstream: str) -> None:
         """Count a request that was sent to the upstream."""
@@ -187,43 +197,36 @@
         elif failing and now >= state.health.ejected_until:
             self._eject(state, now)
 
-    def own_shares(self, service: str) -> dict[str, float]:
-        """Return this process's share of a service's load in each place.
-
-        It is taken from the fresh reports, and the last known one stays when there
-        are none. Entries prefer near upstreams, so the share differs by place.
-        """
-        known = self._services.get(service)
-        if known is None:
-            return {}
+    def overview(self, service: str) -> Overview:
+        """Return what is computed over all upstreams of a service."""
+        view = self._overviews[service]
         now = self.clock()
-        if now < known.shares_at + _COMPARE_INTERVAL_S:
-            return known.own_shares
-        known.shares_at = now
+        if now >= view.at + _OVERVIEW_S:
+            view.at = now
+            self._compare_speeds(view, now)
+            self._compute_shares(view, now)
+            self._compute_utilisation(view, now)
+        return view
+
+    def _compute_shares(self, view: Overview, now: float) -> None:
         sums: dict[str, list[int]] = {}
-        for state in known.states:
+        for state in view.states:
             if now - state.report_at <= self.knobs.report_stale_s:
                 pair = sums.setdefault(state.place, [0, 0])
                 pair[0] += state.report_own
                 pair[1] += state.report_load
         for place, (own, total) in sums.items():
             if own and total:
-                known.own_shares[place] = min(1.0, own / total)
-        return known.own_shares
+                view.own_shares[place] = min(1.0, own / total)
 
-    def compare_speeds(self, service: str) -> None:
-        """Set how much slower than the median each upstream of a service is."""
-        known = self._services.get(service)
-        now = self.clock()
-        if known is None or now < known.speed_at + _COMPARE_INTERVAL_S:
-            return
-        known.speed_at = now
+    def _compare_speeds(self, view: Overview, now: float) -> None:
+        """Set how much slower than the median each upstream is."""
         oldest = now - 2 * self.knobs.latency_half_life_s
         stale = now - self.knobs.report_stale_s
-        slow = dict.fromkeys(known.states, 1.0)
+        slow = dict.fromkeys(view.states, 1.0)
         for values in (
-            {s: s.ttft.value for s in known.states if s.ttft.at >= oldest},
-            {s: s.report_latency_s for s in known.states if s.report_at >= stale},
+            {s: s.ttft.value for s in view.states if s.ttft.at >= oldest},
+            {s: s.report_latency_s for s in view.states if s.report_at >= stale},
         ):
             if len(values) < 3:
                 continue
@@ -234,6 +237,22 @@
             is_slow = ratio >= self.knobs.slow_ratio
             state.slow = min(ratio, self.knobs.slow_ratio_max) if is_slow else 1.0
 
+    def _compute_utilisation(self, view: Overview, now: float) -> None:
+        sums: dict[str, list[float]] = {}
+        for state in view.states:
+            state.update_capacity(now, self.knobs)
+            if state.available_at <= now:
+                pair = sums.setdefault(state.region, [0.0, 0.0])
+                share = view.own_shares.get(state.place, 0.0)
+                pair[0] += state.load(now, share, self.knobs)
+                pair[1] += state.capacity
+        view.utilisation_by_region = {
+            region: load / capacity for region, (load, capacity) in sums.items()
+        }
+        capacity = sum(pair[1] for pair in sums.values())
+        load = sum(pair[0] for pair in sums.values())
+        view.utilisation = load / capacity if capacity else 0.0
+
     def _eject(self, state: UpstreamState, now: float) -> None:
         peers = self.fronts(state.service)
         others = sum(peer.health.ejected for peer in peers if peer is not state)
@@ -241,6 +260,7 @@
         if others + 1 > int(len(peers) * self.knobs.eject_groups_max_ratio + 1e-9):
             return
         seconds = state.health.eject(now, self.knobs)
+        state.update_availability()
         events.log(
             events.Event.UPSTREAM_EJECTED,
             upstream=state.name,
@@ -249,5 +269,8 @@
         )
 
     def _returned(self, state: UpstreamState) -> None:
-        state.health.returned(self.clock())
+        now = self.clock()
+        state.health.returned(now)
+        state.update_availability()
+        state.update_capacity(now, self.knobs)
         events.log(events.Event.UPSTREAM_RETURNED, upstream=state.name)
