Send the chunks that wait together as one message

Cause: encoding and decoding a Cap'n Proto message takes 2.6 and 8.0 us, which at 30,000 tokens a second is a third of a core for one node. Columns of plain values take 0.4 and 0.9 us for each of 8 chunks. Ruled out: a list of Chunk structs (0.9 and 2.8 us) and one data blob with sizes (0.5 and 1.0 us), measured in a trial.

--- a/src/mustardfront/protocol/_codec.py
+++ b/src/mustardfront/protocol/_codec.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Sequence
 from importlib import resources
 from typing import Any, get_args
 
 import capnp
 
 from mustardfront.codes import Code
-from mustardfront.protocol._messages import Message
+from mustardfront.protocol._messages import Chunk, Message
 from mustardfront.results import Err, Ok, Result
 
 capnp.remove_import_hook()
@@ -29,6 +30,8 @@
     kind: tuple((f.name, _camel(f.name)) for f in dataclasses.fields(kind))
     for kind in _TYPES.values()
 }
+# Tag of the message that holds many chunks; it has no class, as no one else sees it.
+_CHUNKS = "chunks"
 # Fields that hold lists and need their own conversion.
 _PAIR_FIELDS = frozenset({"headers"})
 _LIST_FIELDS = frozenset({"fingerprints"})
@@ -53,12 +56,40 @@
     return bytes(envelope.to_bytes())
 
 
+def encode_chunks(chunks: Sequence[Chunk]) -> bytes:
+    """Return the bytes of many chunks, of any streams, as one message.
+
+    Lists of plain values take a fraction of the time that a message each would.
+    """
+    envelope = _schema.Envelope.new_message()
+    body = envelope.init(_CHUNKS)
+    body.streams = [chunk.stream for chunk in chunks]
+    body.indexes = [chunk.index for chunk in chunks]
+    body.data = [chunk.data for chunk in chunks]
+    return bytes(envelope.to_bytes())
+
+
 def decode(data: bytes) -> Result[Message]:
-    """Return the message in ``data``; Err(BAD_MESSAGE) when it is not one."""
+    """Return the one message in ``data``; Err(BAD_MESSAGE) when it is not one."""
+    messages = decode_all(data)
+    if isinstance(messages, Err):
+        return messages
+    if len(messages.value) != 1:
+        return Err(Code.BAD_MESSAGE, f"{len(messages.value)} chunks instead of one")
+    return Ok(messages.value[0])
+
+
+def decode_all(data: bytes) -> Result[Sequence[Message]]:
+    """Return the message, or the chunks, in ``data``; Err(BAD_MESSAGE) otherwise."""
     try:
         with _schema.Envelope.from_bytes(data) as envelope:
             tag = str(envelope.which())
-            return Ok(_read(_TYPES[tag], getattr(envelope, tag)))
+            body = getattr(envelope, tag)
+            if tag == _CHUNKS:
+                # Columns of different lengths are a ValueError.
+                columns = zip(body.streams, body.indexes, body.data, strict=True)
+                return Ok([Chunk(*column) for column in columns])
+            return Ok((_read(_TYPES[tag], body),))
     except (capnp.KjException, KeyError, UnicodeDecodeError, ValueError) as exc:
         return Err(Code.BAD_MESSAGE, f"undecodable message: {exc}"[:200])
 
@@ -75,4 +106,4 @@
     return kind(*values)
 
 
-__all__ = ["decode", "encode"]
+__all__ = ["decode", "decode_all", "encode", "encode_chunks"]
--- a/src/mustardfront/protocol/_peer.py
+++ b/src/mustardfront/protocol/_peer.py
@@ -4,7 +4,8 @@
 
 import hmac
 import secrets
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections import deque
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from typing import Final, TypeAlias, TypeVar
@@ -14,14 +15,16 @@
 from mustardfront import events
 from mustardfront.codes import Code
 from mustardfront.constants import (
+    CHUNKS_MAX_BYTES,
+    CHUNKS_VERSION,
     CONNECT_TIMEOUT_S,
     HANDSHAKE_TIMEOUT_S,
     PROTOCOL_VERSION,
     PROTOCOL_VERSION_MIN,
     SEND_QUEUE_MESSAGES,
 )
-from mustardfront.protocol._codec import decode, encode
-from mustardfront.protocol._messages import Fault, Hello, Message, Proof
+from mustardfront.protocol._codec import decode, decode_all, encode, encode_chunks
+from mustardfront.protocol._messages import Chunk, Fault, Hello, Message, Proof
 from mustardfront.results import Err, Ok, Result
 from mustardfront.transport import FrameStream
 
@@ -43,7 +46,8 @@
 class PeerConnection:
     """A connection after its handshake: a bounded send queue and a receive call.
 
-    ``dialled`` is true when this process opened it.
+    ``dialled`` is true when this process opened it. ``version`` is the protocol
+    version that both sides speak.
     """
 
     def __init__(
@@ -53,9 +57,13 @@
         queue: trio.MemorySendChannel[Message],
         *,
         dialled: bool,
+        version: int = PROTOCOL_VERSION,
     ) -> None:
         self.remote = remote
         self.dialled = dialled
+        self.version = version
+        # Chunks that came together and are not handed out yet; at most one frame.
+        self._received: deque[Message] = deque()
         self._frames = frames
         self._queue = queue
         self.closed: Err | None = None
@@ -87,17 +95,21 @@
 
         A bad frame or message is answered with a ``Fault`` and ends the connection.
         """
-        frame = await self._frames.receive()
-        if isinstance(frame, Err):
-            return self._fail(frame)
-        self.last_received_s = trio.current_time()
-        message = decode(frame.value)
-        if isinstance(message, Err):
-            return self._fail(message)
-        if isinstance(message.value, Fault):
-            fault = message.value
-            return self._fail(Err(Code.CONNECTION_CLOSED, f"peer fault: {fault.text}"))
-        return message
+        while not self._received:
+            frame = await self._frames.receive()
+            if isinstance(frame, Err):
+                return self._fail(frame)
+            self.last_received_s = trio.current_time()
+            messages = decode_all(frame.value)
+            if isinstance(messages, Err):
+                return self._fail(messages)
+            self._received.extend(messages.value)
+        message = self._received.popleft()
+        if isinstance(message, Fault):
+            return self._fail(
+                Err(Code.CONNECTION_CLOSED, f"peer fault: {message.text}")
+            )
+        return Ok(message)
 
     def _fail(self, err: Err) -> Err:
         if err.code is not Code.CONNECTION_CLOSED:
@@ -132,17 +144,33 @@
 
 @asynccontextmanager
 async def open_peer(
-    stream: trio.abc.Stream, identity: Identity, key: bytes, *, dialled: bool
+    stream: trio.abc.Stream,
+    identity: Identity,
+    key: bytes,
+    *,
+    dialled: bool,
+    version: int = PROTOCOL_VERSION,
 ) -> AsyncIterator[Result[PeerConnection]]:
-    """Do the handshake on a byte stream and run its writer while in the context."""
+    """Do the handshake on a byte stream and run its writer while in the context.
+
+    ``version`` is the newest protocol version that this side offers.
+    """
     async with FrameStream(stream) as frames:
-        hello = await _handshake(frames, identity, key, dialled=dialled)
+        hello = await _handshake(
+            frames, identity, key, dialled=dialled, version=version
+        )
         if isinstance(hello, Err):
             events.log(events.Event.PEER_REFUSED, code=int(hello.code), text=hello.text)
             yield hello
             return
         send, receive = trio.open_memory_channel[Message](SEND_QUEUE_MESSAGES)
-        conn = PeerConnection(frames, hello.value, send, dialled=dialled)
+        conn = PeerConnection(
+            frames,
+            hello.value,
+            send,
+            dialled=dialled,
+            version=min(version, hello.value.version),
+        )
         events.log(
             events.Event.PEER_CONNECTED,
             peer=hello.value.instance,
@@ -199,24 +227,50 @@
 ) -> None:
     async with queue:
         async for message in queue:
-            batch = [encode(message)]
+            batch = [message]
             # Everything already queued goes out in the same write.
             while len(batch) < SEND_QUEUE_MESSAGES:
                 try:
-                    batch.append(encode(queue.receive_nowait()))
+                    batch.append(queue.receive_nowait())
                 except (trio.WouldBlock, trio.EndOfChannel):
                     break
-            sent = await frames.send(batch)
+            if conn.version >= CHUNKS_VERSION:
+                payloads = _encode_together(batch)
+            else:
+                payloads = [encode(item) for item in batch]
+            sent = await frames.send(payloads)
             if isinstance(sent, Err):
                 conn.closed = conn.closed or sent
                 return
 
 
+def _encode_together(messages: Iterable[Message]) -> list[bytes]:
+    """Encode messages in order, with the chunks that follow each other as one."""
+    payloads: list[bytes] = []
+    chunks: list[Chunk] = []
+    size = 0
+    for message in messages:
+        fits = isinstance(message, Chunk) and (
+            size + len(message.data) <= CHUNKS_MAX_BYTES
+        )
+        if chunks and not fits:
+            payloads.append(encode_chunks(chunks))
+            chunks, size = [], 0
+        if isinstance(message, Chunk):
+            chunks.append(message)
+            size += len(message.data)
+        else:
+            payloads.append(encode(message))
+    if chunks:
+        payloads.append(encode_chunks(chunks))
+    return payloads
+
+
 async def _handshake(
-    frames: FrameStream, identity: Identity, key: bytes, *, dialled: bool
+    frames: FrameStream, identity: Identity, key: bytes, *, dialled: bool, version: int
 ) -> Result[Hello]:
     mine = Hello(
-        version=PROTOCOL_VERSION,
+        version=version,
         min_version=PROTOCOL_VERSION_MIN,
         instance=identity.instance,
         role=identity.role,
@@ -233,9 +287,7 @@
         if isinstance(theirs, Err):
             return theirs
         hello = theirs.value
-        if max(hello.min_version, PROTOCOL_VERSION_MIN) > min(
-            hello.version, PROTOCOL_VERSION
-        ):
+        if max(hello.min_version, PROTOCOL_VERSION_MIN) > min(hello.version, version):
             text = f"peer speaks {hello.min_version} to {hello.version}"
             return await _reject(frames, Err(Code.BAD_VERSION, text))
         await frames.send([encode(Proof(_mac(key, mine, hello, dialled)))])
--- a/src/mustardfront/protocol/messages.capnp
+++ b/src/mustardfront/protocol/messages.capnp
@@ -41,6 +41,7 @@
 struct Started { stream @0 :UInt64; }
 struct Head { stream @0 :UInt64; status @1 :UInt16; headers @2 :List(Pair); }
 struct Chunk { stream @0 :UInt64; index @1 :UInt32; data @2 :Data; }
+struct Chunks { streams @0 :List(UInt64); indexes @1 :List(UInt32); data @2 :List(Data); }
 struct End { stream @0 :UInt64; code @1 :UInt16; outcome @2 :Text; chunks @3 :UInt32; text @4 :Text; }
 struct Cancel { stream @0 :UInt64; }
 struct Cancelled { stream @0 :UInt64; started @1 :Bool; }
@@ -81,5 +82,6 @@
     fault @19 :Fault;
     order @20 :Order;
     orderReply @21 :OrderReply;
+    chunks @22 :Chunks;
   }
 }
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -6,11 +6,17 @@
 import pytest
 import trio
 import trio.testing
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from mustardfront.codes import Code
-from mustardfront.constants import FRAME_MAX_BYTES, STREAM_CREDIT_CHUNKS
+from mustardfront.constants import (
+    CHUNKS_MAX_BYTES,
+    FRAME_MAX_BYTES,
+    PROTOCOL_VERSION,
+    PROTOCOL_VERSION_MIN,
+    STREAM_CREDIT_CHUNKS,
+)
 from mustardfront.protocol import (
     Calls,
     Chunk,
@@ -25,6 +31,7 @@
     encode,
     open_peer,
 )
+from mustardfront.protocol._codec import decode_all, encode_chunks
 from mustardfront.results import Err, Ok, Result
 
 KEY = b"a-shared-test-key"
@@ -51,6 +58,7 @@
 @asynccontextmanager
 async def pair(
     keys: tuple[bytes, bytes] = (KEY, KEY),
+    version: int = PROTOCOL_VERSION,
 ) -> AsyncIterator[tuple[Result[PeerConnection], Result[PeerConnection]]]:
     left, right = trio.testing.memory_stream_pair()
     ends: dict[str, Result[PeerConnection]] = {}
@@ -64,7 +72,9 @@
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(accept)
-        async with open_peer(left, ENTRY, keys[0], dialled=True) as conn:
+        async with open_peer(
+            left, ENTRY, keys[0], dialled=True, version=version
+        ) as conn:
             await accepted.wait()
             yield conn, ends["accepted"]
             done.set()
@@ -160,3 +170,48 @@
                 for index in range(STREAM_CREDIT_CHUNKS * 2)
             ]
             assert any(isinstance(result, Err) for result in results)
+
+
+MESSAGES = st.lists(
+    st.one_of(
+        st.builds(
+            Chunk,
+            st.integers(1, 3),
+            st.integers(0, 9),
+            st.sampled_from([b"", b"token", b"x" * (CHUNKS_MAX_BYTES - 2)]),
+        ),
+        st.builds(Started, st.integers(1, 3)),
+        st.builds(End, st.integers(1, 3), st.just(1000), st.just("a"), st.just(1)),
+    ),
+    max_size=20,
+)
+
+
+@pytest.mark.parametrize("version", [PROTOCOL_VERSION_MIN, PROTOCOL_VERSION])
+@settings(derandomize=True, deadline=None, max_examples=40)
+@given(messages=MESSAGES)
+def test_messages_arrive_whole_and_in_order(version, messages):
+    # Guards against an end that overtakes chunks which are sent together, and
+    # against an older peer that gets a message it does not know.
+    async def main() -> None:
+        async with pair(version=version) as (near, far):
+            assert isinstance(near, Ok) and isinstance(far, Ok)
+            assert near.value.version == far.value.version == version
+            for message in messages:
+                assert far.value.send_nowait(message)
+            for message in messages:
+                assert await near.value.receive() == Ok(message)
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_chunks_with_missing_parts_are_a_bad_message():
+    # Guards against data of one stream that is taken for another's.
+    whole = encode_chunks([Chunk(1, 0, b"a"), Chunk(2, 0, b"b")])
+    assert decode_all(whole) == Ok([Chunk(1, 0, b"a"), Chunk(2, 0, b"b")])
+    assert isinstance(decode(whole), Err)
+    cut = encode_chunks([Chunk(1, 0, b"a"), Chunk(2, 0, b"b")]).replace(
+        (2 << 3 | 5).to_bytes(4, "little"), (1 << 3 | 5).to_bytes(4, "little"), 1
+    )
+    assert cut != whole
+    assert isinstance(decode_all(cut), Err)
