--- a/src/mustardfront_standins/system.py
+++ b/src/mustardfront_standins/system.py
@@ -195,7 +195,7 @@
     async with trio.open_nursery() as nursery:
         for plan in plans:
             nursery.start_soon(system.start_upstream, plan, engine_args(plan))
-    places = sorted({plan.place for plan in plans})
+    places = sorted({plan.place for plan in plans}) or ["bayern-a"]
     for plan in plans:
         address = system.sidecar_addresses[plan.name]
         await system.announce(plan.host, plan.place, "sidecar", address)
