Bound the control traffic of an entry's links

Cause: each link carried a load report every 2 s, one before each answer's end, and one within 50 ms of each change, whatever the number of links. Ruled out: fewer pings for all, which would find a frozen sidecar late for requests in flight; only connections without calls are pinged less often, and silence counts from an unanswered ping. The load now rides in End, and other reports are spaced so that all links of a sidecar stay within 2 KB/s; a change of state still goes out at once.

--- a/bench/_stub_sidecars.py
+++ b/bench/_stub_sidecars.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from mustardfront.programs.sidecar._peers import REPORT_BYTES, REPORT_BYTES_PER_S
 from mustardfront.protocol import (
     ConfigOffer,
     End,
@@ -28,7 +29,8 @@
 )
 from mustardfront.results import Err
 
-REPORT_INTERVAL_S = 2.0
+# What a sidecar does that 400 entries are connected to.
+REPORT_INTERVAL_S = 400 * REPORT_BYTES / REPORT_BYTES_PER_S
 FRAME_HEADER_BYTES = 4
 
 
--- a/src/mustardfront/coordination/peers/_heartbeat.py
+++ b/src/mustardfront/coordination/peers/_heartbeat.py
@@ -19,6 +19,11 @@
 # what a lost dialler left. A sidecar has 400 entries' connections at the target.
 ACCEPTED_PING_INTERVAL_S: Final = 20.0
 ACCEPTED_SILENCE_S: Final = 60.0
+# A connection without calls in flight is pinged less often the more there are, so the
+# pings of all take about this much in both directions.
+IDLE_PING_BYTES_PER_S: Final = 1_500
+PING_AND_PONG_BYTES: Final = 96
+IDLE_PING_INTERVAL_MAX_S: Final = 20.0
 
 
 class Heartbeat:
@@ -61,20 +66,35 @@
                 # silence is counted from its end.
                 if paused:
                     conn.last_received_s = now
+                    conn.pinged_at_s = None
                 self._check(conn, now)
 
+    def _interval_s(self, conn: PeerConnection) -> float:
+        if not conn.dialled:
+            return ACCEPTED_PING_INTERVAL_S
+        if conn.calls_in_flight:
+            return PING_INTERVAL_S
+        count = len(self._hub.connections)
+        scaled_s = count * PING_AND_PONG_BYTES / IDLE_PING_BYTES_PER_S
+        return min(max(PING_INTERVAL_S, scaled_s), IDLE_PING_INTERVAL_MAX_S)
+
     def _check(self, conn: PeerConnection, now: float) -> None:
         quiet_s = now - conn.last_received_s
-        interval_s = PING_INTERVAL_S if conn.dialled else ACCEPTED_PING_INTERVAL_S
+        # Silence counts from an unanswered ping: a connection that was idle, and so
+        # pinged rarely, is not lost at the moment when it gets a call.
+        asked_s = now - conn.pinged_at_s if conn.pinged_at_s is not None else 0.0
+        interval_s = self._interval_s(conn)
         silence_s = PEER_SILENCE_S if conn.dialled else ACCEPTED_SILENCE_S
-        if quiet_s >= silence_s:
+        if asked_s >= silence_s - PING_INTERVAL_S and quiet_s >= silence_s:
             events.log(
                 events.Event.PEER_SILENT,
                 peer=conn.remote.instance,
-                host=conn.remote.host,
+                peer_host=conn.remote.host,
                 silent_s=round(quiet_s, 1),
             )
             text = f"no message for {quiet_s:.1f} s"
             self._hub.close(conn, Err(Code.PEER_LOST, text))
         elif quiet_s >= interval_s:
+            if conn.pinged_at_s is None:
+                conn.pinged_at_s = now
             conn.send_nowait(Ping(next(self._nonces), self._version()))
--- a/src/mustardfront/programs/entry/_attempt.py
+++ b/src/mustardfront/programs/entry/_attempt.py
@@ -20,6 +20,7 @@
     End,
     Head,
     Headers,
+    LoadReport,
     Refused,
     Request,
 )
@@ -130,6 +131,7 @@
                 await _pass_on(answer, upstream, reply, progress)
             await call.acknowledge()
         if isinstance(reply, End):
+            _take_load(table, upstream, reply)
             count = progress.next_index if _is_stream(req, head) else len(pieces)
             return _ended(reply, head, count, b"".join(pieces))
 
@@ -146,6 +148,20 @@
     await answer.token(chunk.data)
 
 
+def _take_load(table: UpstreamTable, upstream: str, end: End) -> None:
+    if end.state:
+        table.report(
+            LoadReport(
+                upstream,
+                end.in_flight,
+                end.queued,
+                end.limit,
+                end.state,
+                end.latency_ms,
+            )
+        )
+
+
 def _is_stream(req: CallerRequest, head: Head) -> bool:
     return req.streamed and head.status == 200
 
--- a/src/mustardfront/programs/sidecar/_peers.py
+++ b/src/mustardfront/programs/sidecar/_peers.py
@@ -29,6 +29,10 @@
 
 REPORT_INTERVAL_S: Final = 2.0
 REPORT_SPACING_S: Final = 0.05
+# An encoded load report with its frame's length is about this long.
+REPORT_BYTES: Final = 100
+# A third of the control traffic that a node may cause.
+REPORT_BYTES_PER_S: Final = 2_000
 
 
 async def serve_connection(
@@ -129,9 +133,22 @@
 
 
 async def report_loads(side: Sidecar) -> None:
-    """Send a load report after each change and at least every 2 s."""
+    """Send a load report after changes of the load, at once when the state changes.
+
+    The more connections there are, the rarer the reports, so all of them together
+    stay within ``REPORT_BYTES_PER_S``. Each ``End`` carries the load as well.
+    """
     while True:
-        with trio.move_on_after(REPORT_INTERVAL_S):
+        spacing_s = _report_spacing_s(len(side.hub.connections))
+        with trio.move_on_after(max(REPORT_INTERVAL_S, spacing_s)):
             await side.load_changed.wait()
-        side.hub.broadcast(side.load_report(), role="entry")
-        await trio.sleep(REPORT_SPACING_S)
+        report = side.load_report()
+        side.hub.broadcast(report, role="entry")
+        with trio.move_on_after(spacing_s):
+            while side.state == report.state:
+                await side.load_changed.wait()
+
+
+def _report_spacing_s(connections: int) -> float:
+    spacing_s = connections * REPORT_BYTES / REPORT_BYTES_PER_S
+    return max(REPORT_SPACING_S, spacing_s)
--- a/src/mustardfront/programs/sidecar/_relay.py
+++ b/src/mustardfront/programs/sidecar/_relay.py
@@ -4,6 +4,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from typing import Final
 
 import trio
@@ -46,9 +47,7 @@
             last = attempt.interrupted()
         attempt.finished = True
         _log_last(side, attempt, last)
-        # The caller's next choice is made with this upstream's load after the end.
-        await attempt.send(side.load_report())
-        await attempt.send(last)
+        await attempt.send(_with_load(side, last))
     finally:
         attempt.finished = True
         side.attempts.discard(attempt)
@@ -57,6 +56,27 @@
         await _cancel_upstream(side, attempt)
 
 
+def _with_load(
+    side: Sidecar, last: Refused | End | Cancelled
+) -> Refused | End | Cancelled:
+    """Add this upstream's load, as the caller's next choice is made with it.
+
+    A load report of its own for each request would take an entry's whole share of
+    control traffic at the target's 92 requests a second.
+    """
+    if not isinstance(last, End):
+        return last
+    load = side.load_report()
+    return replace(
+        last,
+        state=load.state,
+        in_flight=load.in_flight,
+        queued=load.queued,
+        limit=load.limit,
+        latency_ms=load.latency_ms,
+    )
+
+
 def _is_whole(last: Refused | End | Cancelled) -> bool:
     return isinstance(last, End) and last.code == Code.ANSWERED
 
--- a/src/mustardfront/protocol/_calls.py
+++ b/src/mustardfront/protocol/_calls.py
@@ -90,11 +90,13 @@
             STREAM_CREDIT_CHUNKS + CALL_QUEUE_SLACK_MESSAGES
         )
         self._open[stream] = send
+        self._conn.calls_in_flight += 1
         call = Call(self._conn, stream, receive)
         try:
             yield call
         finally:
             self._open.pop(stream, None)
+            self._conn.calls_in_flight -= 1
             send.close()
             receive.close()
             if not call.finished:
--- a/src/mustardfront/protocol/_messages.py
+++ b/src/mustardfront/protocol/_messages.py
@@ -94,13 +94,22 @@
 
 @dataclass(frozen=True, slots=True)
 class End:
-    """The attempt ended after ``chunks`` parts, counted from the answer's start."""
+    """The attempt ended after ``chunks`` parts, counted from the answer's start.
+
+    The other fields are the upstream's load after the attempt, as in a
+    ``LoadReport``; ``state`` is empty when the sender tells no load.
+    """
 
     stream: int
     code: int
     outcome: str
     chunks: int
     text: str = ""
+    state: str = ""
+    in_flight: int = 0
+    queued: int = 0
+    limit: int = 0
+    latency_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/mustardfront/protocol/_peer.py
+++ b/src/mustardfront/protocol/_peer.py
@@ -61,6 +61,9 @@
         self.closed: Err | None = None
         # Time of the last frame; traffic of any kind shows that the peer is alive.
         self.last_received_s = trio.current_time()
+        # When the oldest unanswered ping went out.
+        self.pinged_at_s: float | None = None
+        self.calls_in_flight = 0
 
     async def send(self, message: Message) -> Result[None]:
         """Queue a message; wait while the queue is full."""
@@ -91,6 +94,7 @@
         if isinstance(frame, Err):
             return self._fail(frame)
         self.last_received_s = trio.current_time()
+        self.pinged_at_s = None
         message = decode(frame.value)
         if isinstance(message, Err):
             return self._fail(message)
--- a/src/mustardfront/protocol/messages.capnp
+++ b/src/mustardfront/protocol/messages.capnp
@@ -41,7 +41,18 @@
 struct Started { stream @0 :UInt64; }
 struct Head { stream @0 :UInt64; status @1 :UInt16; headers @2 :List(Pair); }
 struct Chunk { stream @0 :UInt64; index @1 :UInt32; data @2 :Data; }
-struct End { stream @0 :UInt64; code @1 :UInt16; outcome @2 :Text; chunks @3 :UInt32; text @4 :Text; }
+struct End {
+  stream @0 :UInt64;
+  code @1 :UInt16;
+  outcome @2 :Text;
+  chunks @3 :UInt32;
+  text @4 :Text;
+  state @5 :Text;
+  inFlight @6 :UInt32;
+  queued @7 :UInt32;
+  limit @8 :UInt32;
+  latencyMs @9 :Float32;
+}
 struct Cancel { stream @0 :UInt64; }
 struct Cancelled { stream @0 :UInt64; started @1 :Bool; }
 struct Credit { stream @0 :UInt64; chunks @1 :UInt32; }
