--- a/src/mustardfront/coordination/routing/_policy.py
+++ b/src/mustardfront/coordination/routing/_policy.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 from collections.abc import Callable, Sequence
 from typing import TypeAlias
 
-from mustardfront.coordination.routing._hashing import rendezvous_score
+from mustardfront.coordination.routing._hashing import rendezvous_scores
 from mustardfront.coordination.routing._state import UpstreamState
 from mustardfront.coordination.routing._table import UpstreamTable
 from mustardfront.coordination.routing._types import Candidate, RouteRequest
@@ -18,96 +19,116 @@
 ]
 
 
-class _View:
-    """Loads and capacities of the capable upstreams at one moment."""
+# Share of the new request that the bound allows each upstream beyond its part.
+_OWN_REQUEST = 0.1
+
 
-    __slots__ = ("capacities", "loads")
+class _View:
+    """The present load of upstreams, computed for those that are compared."""
 
-    def __init__(self, table: UpstreamTable, states: Sequence[UpstreamState]) -> None:
-        now, knobs = table.clock(), table.knobs
-        service = states[0].service
-        table.compare_speeds(service)
-        own_share = table.own_share(service)
-        self.loads = {state: state.load(now, own_share, knobs) for state in states}
-        self.capacities = {state: state.capacity(now, knobs) for state in states}
+    __slots__ = ("knobs", "now", "overview")
 
-    def utilisation(self, states: Sequence[UpstreamState]) -> float:
-        """Return the load of some upstreams as a share of their capacity."""
-        capacity = sum(self.capacities[state] for state in states)
-        return sum(self.loads[state] for state in states) / capacity
+    def __init__(self, table: UpstreamTable, service: str) -> None:
+        self.now = table.clock()
+        self.knobs = table.knobs
+        self.overview = table.overview(service)
 
     def candidate(self, state: UpstreamState) -> Candidate:
         """Return an upstream's load and its utilisation with one more request."""
-        load = self.loads[state]
-        return Candidate(state.name, load, (load + 1) / self.capacities[state])
+        share = self.overview.own_shares.get(state.place, 0.0)
+        load = state.load(self.now, share, self.knobs)
+        return Candidate(state.name, load, (load + 1) / state.capacity)
 
 
 def default_policy(
     table: UpstreamTable, capable: Sequence[UpstreamState], req: RouteRequest
 ) -> Choice:
     """Choose by prefix within a bound on load, else the better of a few."""
-    view = _View(table, capable)
-    if req.prefix:
-        # A cache hit saves far more time than staying within the place does.
-        nearby, _ = _nearest(table, capable, req.place, view, with_place=False)
-        choice = _by_prefix(table, nearby, req.prefix, view)
-        if choice is not None:
-            return choice
-        return _by_choices(table, nearby, view, "prefix-over-bound")
-    nearby, reason = _nearest(table, capable, req.place, view, with_place=True)
-    return _by_choices(table, nearby, view, reason)
-
-
-def _nearest(
-    table: UpstreamTable,
-    capable: Sequence[UpstreamState],
-    place: str,
-    view: _View,
-    *,
-    with_place: bool,
-) -> tuple[Sequence[UpstreamState], str]:
-    """Return the upstreams of the place or region, unless it is overloaded."""
-    knobs = table.knobs
-    allowed = max(
-        knobs.spill_load_ratio * view.utilisation(capable), knobs.spill_utilisation_min
-    )
-    region = table.region_of(place)
+    view = _View(table, req.service)
+    region = table.region_of(req.place)
+    if not req.prefix:
+        return _by_choices(table, capable, req.place, region, view)
+    # A cache hit saves far more time than staying within the place does.
     near = [state for state in capable if state.region == region]
-    if with_place:
-        same = [state for state in near if state.place == place]
-        if same and view.utilisation(same) <= allowed:
-            return same, "same-place"
-    if near and view.utilisation(near) <= allowed:
-        return near, "same-region"
-    return capable, "any-region"
+    if not near or _is_overloaded(region, view):
+        return _by_prefix(capable, req.prefix, view.overview.utilisation, view)
+    used = view.overview.utilisation_by_region.get(region, 0.0)
+    return _by_prefix(near, req.prefix, used, view)
+
+
+def _is_overloaded(region: str, view: _View) -> bool:
+    """Say whether a region is utilised far more than all upstreams are."""
+    knobs = view.knobs
+    used = view.overview.utilisation_by_region.get(region, 0.0)
+    if used <= knobs.spill_utilisation_min:
+        return False
+    return used > knobs.spill_load_ratio * view.overview.utilisation
 
 
 def _by_prefix(
-    table: UpstreamTable, states: Sequence[UpstreamState], prefix: int, view: _View
-) -> Choice | None:
-    """Return the first upstream in the prefix's order that is within the bound."""
-    capacity = sum(view.capacities[state] for state in states)
-    total = sum(view.loads[state] for state in states) + 1
-    bound = table.knobs.prefix_load_bound_ratio * total / capacity
-    order = sorted(
-        states,
-        key=lambda state: rendezvous_score(prefix, state.name_hash),
-        reverse=True,
+    states: Sequence[UpstreamState], prefix: int, mean: float, view: _View
+) -> Choice:
+    """Return the first upstream in the prefix's order that is within the bound.
+
+    Only the first few are tried, so that each prefix is cached in few places. When
+    all of them are over the bound, the least utilised of them is chosen. ``mean`` is
+    the utilisation of ``states``.
+    """
+    knobs = view.knobs
+    bound = min(
+        knobs.prefix_load_bound_ratio * mean, max(mean, knobs.prefix_utilisation_max)
+    )
+    scores = rendezvous_scores(prefix, [state.name_hash for state in states])
+    order = heapq.nlargest(
+        knobs.prefix_tries_count, range(len(states)), key=scores.__getitem__
     )
     tried: list[Candidate] = []
-    for state in order[: table.knobs.prefix_tries_count]:
-        tried.append(view.candidate(state))
-        if view.loads[state] + 1 <= math.ceil(bound * view.capacities[state]):
+    for index in order:
+        state, found = states[index], view.candidate(states[index])
+        tried.append(found)
+        # At low load the bound is below one request, which is always allowed.
+        if found.load + 1 <= math.ceil(bound * state.capacity + _OWN_REQUEST):
             return state, f"prefix-{len(tried)}", tuple(tried)
-    return None
+    best = min(range(len(order)), key=lambda index: tried[index].score)
+    return states[order[best]], "prefix-over-bound", tuple(tried)
 
 
 def _by_choices(
-    table: UpstreamTable, states: Sequence[UpstreamState], view: _View, reason: str
+    table: UpstreamTable,
+    capable: Sequence[UpstreamState],
+    place: str,
+    region: str,
+    view: _View,
 ) -> Choice:
-    """Return the least utilised of a few random upstreams."""
-    count = min(table.knobs.choices_count, len(states))
-    picked = table.rng.sample(states, count)
-    compared = [view.candidate(state) for state in picked]
-    best = min(range(count), key=lambda index: compared[index].score)
-    return picked[best], reason, tuple(compared)
+    """Return the less utilised of a few random upstreams, the nearest if it has room.
+
+    A choice that would have to queue is compared with one from further away, and
+    left when that is clearly better.
+    """
+    knobs = view.knobs
+    same, near, far = [], [], []
+    for state in capable:
+        if state.place == place:
+            same.append(state)
+        elif state.region == region:
+            near.append(state)
+        else:
+            far.append(state)
+    chosen, chosen_score, reason = capable[0], math.inf, ""
+    compared: list[Candidate] = []
+    for tier_reason, tier in (
+        ("same-place", same),
+        ("same-region", near),
+        ("any-region", far),
+    ):
+        if not tier:
+            continue
+        picked = table.rng.sample(tier, min(knobs.choices_count, len(tier)))
+        found = [view.candidate(state) for state in picked]
+        compared += found
+        best = min(range(len(found)), key=lambda index: found[index].score)
+        if found[best].score * knobs.spill_load_ratio < chosen_score:
+            chosen, chosen_score, reason = picked[best], found[best].score, tier_reason
+        if chosen_score <= 1.0:
+            break
+    return chosen, reason, tuple(compared)
--- a/tests/running.py
+++ b/tests/running.py
@@ -1,6 +1,9 @@
 """Programs started for a test, and a caller that speaks to a sidecar."""
 
 import json
+import os
+import time
+import uuid
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
@@ -18,6 +21,8 @@
     Identity,
     Leaving,
     LoadReport,
+    Ping,
+    Pong,
     Refused,
     Request,
     Started,
@@ -37,9 +42,11 @@
 STEP_LIMIT_S = 30
 
 
-def sidecar_flags(fleet: Fleet, url: str, kv_url: str, listen: str) -> list[str]:
+def sidecar_flags(
+    fleet: Fleet, url: str, kv_url: str, listen: str = "127.0.0.1:0", name: str = "w1"
+) -> list[str]:
     args = {
-        "upstream-name": "w1",
+        "upstream-name": name,
         "upstream-url": url,
         "peer-listen": listen,
         "host": "h1",
@@ -51,6 +58,19 @@
     return [part for name, value in args.items() for part in (f"--{name}", value)]
 
 
+async def start_sidecar(
+    fleet: Fleet, url: str, kv_url: str, name: str = "w1"
+) -> tuple[FleetProcess, str]:
+    """Start a sidecar; return it and its address once it knows its upstream."""
+    flags = sidecar_flags(fleet, url, kv_url, name=name)
+    module = "mustardfront.programs.sidecar"
+    side = await fleet.start(f"sidecar-{name}", module, *flags)
+    with trio.fail_after(STEP_LIMIT_S):
+        ready = await side.wait_event("process-ready")
+        await side.wait_event("upstream-state")
+    return side, ready["addresses"]["peer"]
+
+
 @dataclass
 class Served:
     """A stand-in, its sidecar and a caller of the sidecar."""
@@ -67,14 +87,9 @@
     async with Fleet() as fleet:
         upstream = await fleet.start_standin(name, name, *args)
         kv = await fleet.start_standin("kv", "kv")
-        flags = sidecar_flags(
-            fleet, upstream.ready["url"], kv.ready["url"], "127.0.0.1:0"
+        side, address = await start_sidecar(
+            fleet, upstream.ready["url"], kv.ready["url"]
         )
-        side = await fleet.start("sidecar", "mustardfront.programs.sidecar", *flags)
-        with trio.fail_after(STEP_LIMIT_S):
-            ready = await side.wait_event("process-ready")
-            await side.wait_event("upstream-state")
-        address = ready["addresses"]["peer"]
         async with caller(address) as one:
             await one.push(cfg or make_config())
             yield Served(fleet, upstream, side, address, one)
@@ -85,7 +100,9 @@
         return await proc.process.wait()
 
 
-def make_config(version: int = 1, upstream_state: str = "active", **limits) -> Config:
+def make_config(
+    version: int = 1, upstream_state: str = "active", kind: str = "model", **limits
+) -> Config:
     ticket = ticket_from_data(
         {
             "ticket": 1,
@@ -94,7 +111,7 @@
             "set": {
                 "places": {"a": {"region": "bayern"}},
                 "hosts": {"h1": {"place": "a"}},
-                "services": {"svc": {"kind": "model"}},
+                "services": {"svc": {"kind": kind}},
                 "teams": {"lofts": {"key_sha256": "0" * 64, "services": ["svc"]}},
                 "upstreams": {
                     "w1": {
@@ -133,6 +150,19 @@
     return Request(**(fields | changes))
 
 
+def new_key() -> str:
+    """Return an idempotency key of this moment, in UUIDv7 form."""
+    random = int.from_bytes(os.urandom(10), "big") & ~(0xF << 76) & ~(0x3 << 62)
+    value = time.time_ns() // 1_000_000 << 80 | random | 0x7 << 76 | 0x2 << 62
+    return str(uuid.UUID(int=value))
+
+
+def booking(record: str, key: str = "", **changes) -> Request:
+    key = key or new_key()
+    path = f"/records/{record}"
+    return make_request(path=path, idempotent=False, idempotency_key=key, **changes)
+
+
 def completion(prompt: str, tokens: int, **changes) -> Request:
     body = json.dumps({"prompt": prompt, "max_tokens": tokens, "stream": True})
     return make_request(body=body.encode(), streamed=True, **changes)
@@ -181,9 +211,17 @@
                     self.loads.append(report)
                 case Leaving():
                     self.leaving.set()
+                case Ping(nonce, version):
+                    self.conn.send_nowait(Pong(nonce, version))
                 case other:
                     assert self.calls.dispatch(other) is None
 
+    async def settle(self) -> None:
+        """Wait until the sidecar answered, so that it has read what came before."""
+        with trio.fail_after(STEP_LIMIT_S):
+            got = await self.run(make_request(service="none"))
+        assert isinstance(got.last, Refused)
+
     async def push(self, cfg: Config) -> None:
         await self.conn.send(ConfigPush(cfg.version, config_to_bytes(cfg)))
 
--- a/tests/test_sidecar_attempts.py
+++ b/tests/test_sidecar_attempts.py
@@ -20,7 +20,7 @@
 from mustardfront.programs.sidecar._program import apply_config
 from mustardfront.programs.sidecar._relay import run_attempt
 from mustardfront.programs.sidecar._side import Sidecar
-from mustardfront.protocol import Cancelled, Chunk, End, LoadReport, Refused, Started
+from mustardfront.protocol import Cancelled, Chunk, End, Refused, Started
 from mustardfront.results import Err, Ok
 from running import completion, make_config, make_request
 
@@ -187,7 +187,7 @@
     assert [chunk.index for chunk in conn.of(Chunk)] == list(range(chunks))
     assert conn.sent[-1].code == code and conn.sent[-1].chunks == chunks
     # An entry chooses its next upstream with the load after this request.
-    assert isinstance(conn.sent[-2], LoadReport) and conn.sent[-2].in_flight == 0
+    assert (conn.sent[-1].state, conn.sent[-1].in_flight) == ("ready", 0)
 
 
 async def test_resumed_stream_goes_on_from_its_position(autojump_clock):
@@ -302,6 +302,24 @@
     assert not side.quarantine.crashes_of(b"a")
 
 
+@pytest.mark.parametrize(("crashes", "isolated"), [(0, False), (1, True), (2, False)])
+async def test_crashes_learned_in_the_queue_count(autojump_clock, crashes, isolated):
+    # Guards against a crash report that comes after admission being ignored.
+    cfg = make_config(max_in_flight=1)
+    side = await make_side(lambda call: FakeAnswer([1.0, DONE]), cfg)
+    attempt = make_attempt(completion("p", 1, fingerprint=b"f"))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(run, side, completion("p", 1))
+        await trio.sleep(0.1)
+        nursery.start_soon(run_attempt, side, attempt)
+        await trio.sleep(0.1)
+        for number in range(crashes):
+            side.quarantine.crashed(f"u{number}", "i", [b"f"])
+    assert attempt.isolated is isolated
+    held = attempt.conn.sent[-1].code == Code.REQUEST_HELD
+    assert held is (crashes == 2) is not attempt.handed_over
+
+
 async def crash_side(checks, answer):
     """Return a side with ``answer`` for calls, whose health checks give ``checks``."""
 
