--- /dev/null
+++ b/tests/test_expertmap_processes.py
@@ -0,0 +1,173 @@
+"""Real ranks and sidecars: a process is killed or frozen during a switch."""
+
+import signal
+from dataclasses import replace
+from functools import partial
+
+import httpcore
+import msgspec
+import pytest
+import trio
+
+from mustardfront.coordination.expertmap import (
+    Coordinator,
+    GroupLinks,
+    LocalRank,
+    OrderDesk,
+    read_states,
+    switch,
+)
+from mustardfront.protocol import ConfigPush, Identity, connect_peer
+from mustardfront.results import Err, Ok
+from mustardfront.settings import parse_address
+from mustardfront.state import ExpertMap, Group, Upstream, config_to_bytes, first_map
+from mustardfront_standins.fleet import Fleet, free_port, poll_until
+from running import KEY, STEP_LIMIT_S, make_config, sidecar_flags
+
+RANKS = ("w0", "w1", "w2")
+ME = Identity("sidecar", "h1", "a", "test-coordinator")
+# Longer than a lease's lifetime, a campaign's interval and a formation together.
+RECOVERY_S = 60
+
+
+class World:
+    """Three ranks with sidecars, and a coordinator in this process beside theirs."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.rank_ports = {name: free_port() for name in RANKS}
+        self.peers = {name: f"127.0.0.1:{free_port()}" for name in RANKS}
+
+    async def start(self):
+        fleet = self.fleet
+        self.kv = await fleet.start_standin("kv", "kv")
+        # Slow enough that a vote is still open when the fault comes.
+        self.weights = await fleet.start_standin("weights", "weights", "--rate", "2000")
+        self.exchange = await fleet.start_standin(
+            "exchange", "rank", "exchange", "--ranks", "3"
+        )
+        for name in RANKS:
+            await self.start_rank(name)
+            await self.start_sidecar(name)
+        assert await poll_until(self.has_steps(1), RECOVERY_S)
+
+    async def start_rank(self, name):
+        index = RANKS.index(name)
+        args = {
+            "listen": f"127.0.0.1:{self.rank_ports[name]}",
+            "index": str(index),
+            "exchange": self.exchange.ready["url"],
+            "weights": self.weights.ready["url"],
+            "experts": "4",
+        }
+        flags = [part for key, value in args.items() for part in (f"--{key}", value)]
+        # One rank takes orders with any fence.
+        more = ["--ignore-fences"] if index == 1 else []
+        await self.fleet.start_standin(f"rank-{name}", "rank", "serve", *flags, *more)
+
+    async def start_sidecar(self, name):
+        url = f"http://127.0.0.1:{self.rank_ports[name]}"
+        flags = sidecar_flags(
+            self.fleet, url, self.kv.ready["url"], self.peers[name], name
+        )
+        side = await self.fleet.start(
+            f"sidecar-{name}", "mustardfront.programs.sidecar", *flags
+        )
+        with trio.fail_after(STEP_LIMIT_S):
+            await side.wait_event("process-ready")
+        cfg = make_config()
+        upstreams = {
+            rank: Upstream("svc", "h1", address) for rank, address in self.peers.items()
+        }
+        group = Group("svc", RANKS, 1, 4, 2, 1000, 2000.0)
+        cfg = replace(cfg, upstreams=upstreams, groups={"g": group})
+        address = parse_address(self.peers[name])
+        async with connect_peer(address, ME, KEY) as conn:
+            assert isinstance(conn, Ok)
+            await conn.value.send(ConfigPush(cfg.version, config_to_bytes(cfg)))
+            with trio.fail_after(STEP_LIMIT_S):
+                await side.wait_event("config-in-force")
+
+    async def restart(self, target):
+        start = self.start_rank if target.startswith("rank") else self.start_sidecar
+        await start(target.partition("-")[2])
+
+    async def steps(self):
+        answer = await httpcore_get(self.exchange.ready["url"] + "/steps")
+        assert answer["faults"] == []
+        return answer
+
+    def has_steps(self, wanted):
+        async def check():
+            return (await self.steps())["steps"] >= wanted
+
+        return check
+
+    async def coordinator(self, links):
+        """Return a coordinator whose fence is newer than that of the group's own."""
+        first = Coordinator(
+            "g", RANKS, 0, partial(links.ask, 0), trio.sleep, lambda: Err(9999, "")
+        )
+        states = Err(9999, "")
+        with trio.fail_after(STEP_LIMIT_S):
+            while isinstance(states, Err):
+                states = await read_states(first)
+                await trio.sleep(0.05)
+        fence = max(state.fence for state in states.value.values()) + 1
+        return replace(first, fence=fence, ask=partial(links.ask, fence)), states.value
+
+
+async def httpcore_get(url):
+    async with httpcore.AsyncConnectionPool() as pool:
+        return msgspec.json.decode((await pool.request("GET", url)).content)
+
+
+async def open_vote(world):
+    """Say whether a rank waits for a vote's outcome; a formation closes old ones."""
+    for port in world.rank_ports.values():
+        state = await httpcore_get(f"http://127.0.0.1:{port}/rank/state")
+        for vote in state["votes"]:
+            closed = not vote["form"] and vote["epoch"] != state["epoch"]
+            if vote["decided"] is None and vote["vote"] != "no" and not closed:
+                return True
+    return False
+
+
+@pytest.mark.parametrize(
+    ("target", "action"),
+    [
+        ("rank-w1", signal.SIGKILL),
+        ("rank-w1", signal.SIGSTOP),
+        # The first rank's sidecar is the first to campaign, so it coordinates.
+        ("sidecar-w0", signal.SIGKILL),
+        ("sidecar-w0", signal.SIGSTOP),
+    ],
+)
+async def test_a_fault_during_a_switch_leaves_one_map_in_each_step(target, action):
+    async with Fleet() as fleet:
+        world = World(fleet)
+        await world.start()
+        links = GroupLinks("g", "", OrderDesk(LocalRank(None)), ME, KEY)
+        async with (
+            links.open(world.peers, connect_peer),
+            trio.open_nursery() as nursery,
+        ):
+            co, states = await world.coordinator(links)
+            layer = first_map(1, 4, 3, 2).value.layers[0]
+            new = ExpertMap(0, (tuple(reversed(layer)),))
+            step = max(state.step for state in states.values()) + 400
+            nursery.start_soon(switch, co, states, new, step)
+            assert await poll_until(partial(open_vote, world), STEP_LIMIT_S)
+            fleet.processes[target].send_signal(action)
+            await trio.sleep(1.0)
+            # This coordinator dies too, with its vote open.
+            nursery.cancel_scope.cancel()
+        if action is signal.SIGSTOP:
+            fleet.processes[target].send_signal(signal.SIGCONT)
+        else:
+            await fleet.processes[target].process.wait()
+            await world.restart(target)
+        before = (await world.steps())["steps"]
+        # The group passes the proposed step, so the open vote found its outcome.
+        assert await poll_until(world.has_steps(before + 500), RECOVERY_S)
+        assert not await open_vote(world)
