Report a change of the upstream's state at once

A state that changed while reports were spaced, which takes 20 s with 400 entries, woke the loop, which then waited for another change before it reported, so entries went on choosing a dead upstream. Found by reading; the new test with 400 connections failed before and passes now. A change during the spacing is no longer missed either.

--- a/src/mustardfront/programs/sidecar/_peers.py
+++ b/src/mustardfront/programs/sidecar/_peers.py
@@ -139,14 +139,16 @@
     stay within ``REPORT_BYTES_PER_S``. Each ``End`` carries the load as well.
     """
     while True:
-        spacing_s = _report_spacing_s(len(side.hub.connections))
-        with trio.move_on_after(max(REPORT_INTERVAL_S, spacing_s)):
-            await side.load_changed.wait()
+        # Taken before the report is made, so that no later change is missed.
+        changed = side.load_changed
         report = side.load_report()
         side.hub.broadcast(report, role="entry")
+        spacing_s = _report_spacing_s(len(side.hub.connections))
         with trio.move_on_after(spacing_s):
             while side.state == report.state:
                 await side.load_changed.wait()
+        with trio.move_on_after(REPORT_INTERVAL_S):
+            await changed.wait()
 
 
 def _report_spacing_s(connections: int) -> float:
--- a/tests/test_sidecar_attempts.py
+++ b/tests/test_sidecar_attempts.py
@@ -1,8 +1,9 @@
 """Attempts against a scripted upstream: what is refused, unknown or answered."""
 
 import json
-from contextlib import asynccontextmanager
+from contextlib import ExitStack, asynccontextmanager
 from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 import trio
@@ -17,6 +18,7 @@
 from mustardfront.programs.sidecar._events import EVENT_MAX_BYTES, EventParser
 from mustardfront.programs.sidecar._health import Health
 from mustardfront.programs.sidecar._pauses import PauseMeter
+from mustardfront.programs.sidecar._peers import REPORT_SPACING_S, report_loads
 from mustardfront.programs.sidecar._program import apply_config
 from mustardfront.programs.sidecar._relay import run_attempt
 from mustardfront.programs.sidecar._side import Sidecar
@@ -320,6 +322,26 @@
     assert held is (crashes == 2) is not attempt.handed_over
 
 
+async def test_change_of_state_is_reported_at_once(autojump_clock):
+    # Guards against entries that choose a dead upstream until the next report is due.
+    side = await make_side(lambda call: FakeAnswer([DONE]))
+    with ExitStack() as stack:
+        # With so many entries, reports without news are 20 s apart.
+        for _ in range(400):
+            entry = FakeConn()
+            entry.remote = SimpleNamespace(role="entry")
+            stack.enter_context(side.hub.attached(entry))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(report_loads, side)
+            for wait_s in (0.01, 1.0, 30.0):
+                for healthy in (False, True):
+                    await trio.sleep(wait_s)
+                    side.set_healthy(healthy, "")
+                    await trio.sleep(REPORT_SPACING_S)
+                    assert entry.sent[-1].state == side.state
+            nursery.cancel_scope.cancel()
+
+
 async def crash_side(checks, answer):
     """Return a side with ``answer`` for calls, whose health checks give ``checks``."""
 
--- a/tests/test_sidecar_processes.py
+++ b/tests/test_sidecar_processes.py
@@ -36,7 +36,9 @@
         await one.push(make_config())
         got = await one.run(completion("p", 200))
         assert got.tokens == answer_tokens("p", 200)
-        assert got.last == End(got.last.stream, Code.ANSWERED, "answered", 200)
+        last = got.last
+        assert isinstance(last, End) and last.chunks == 200
+        assert (last.code, last.outcome) == (Code.ANSWERED, "answered")
         cut = await one.run(completion("p <cut>", 20))
         assert cut.last.code == Code.STREAM_CUT and cut.last.chunks == 10
         text = "".join(cut.tokens)
