--- a/src/mustardfront/coordination/idempotency/_writer.py
+++ b/src/mustardfront/coordination/idempotency/_writer.py
@@ -180,6 +180,11 @@
 
     def _apply(self, write: _Write, revision: int) -> None:
         self._unresolved = None
+        items = [item for change in write.changes for item in change.items]
+        claims = sum(isinstance(item.entry, Claim) for item in items)
+        if claims:
+            event = events.Event.CLAIM_WRITTEN
+            events.log(event, service=self._service, claims=claims, revision=revision)
         for change in write.changes:
             partition = change.partition
             partition.revision = revision
@@ -221,6 +226,7 @@
 
     def _refuse_claims(self, write: _Write, err: Err) -> None:
         unresolved = self._unresolved is write
+        refused = 0
         for partition in self.owned.values():
             sent = next(
                 (
@@ -234,11 +240,15 @@
             for number, item in enumerate(partition.pending):
                 if isinstance(item.entry, Claim) and not item.abandoned:
                     _tell(item, err)
+                    refused += 1
                     if number >= len(sent):
                         continue
                     item.abandoned = True
                 kept.append(item)
             partition.pending = kept
+        if refused:
+            event = events.Event.CLAIM_REFUSED
+            events.log(event, service=self._service, claims=refused, text=err.text)
 
 
 def refuse_pending(partition: Partition, err: Err) -> None:
