Tell no version when asking for the status

The status call's ping told the admin process's version even before its own start was complete, which the specification of the spread rules out (defect starting-peers-count).

--- a/src/mustardfront/programs/admin/_status.py
+++ b/src/mustardfront/programs/admin/_status.py
@@ -73,7 +73,8 @@
         async with connect_peer(address.value, process.identity, process.key) as conn:
             if isinstance(conn, Err):
                 return None
-            await conn.value.send(Ping(0, process.store.current.version))
+            # Version 0: a starting process must not tell the one it may hold.
+            await conn.value.send(Ping(0, 0))
             while True:
                 message = await conn.value.receive()
                 if isinstance(message, Err):
