Tell routing what an attempt's end says; let the queue shed in the sidecar

The entry counted every refusal as a success and every cancel as a failure of the upstream: five callers that went away ejected a healthy upstream, and UPSTREAM_DOWN never ejected one. Refusals and callers that go away now say nothing; a deadline without an answer and UPSTREAM_DOWN are failures. A changed retry_ratio takes effect.

--- a/src/mustardfront/programs/entry/_attempt.py
+++ b/src/mustardfront/programs/entry/_attempt.py
@@ -77,22 +77,37 @@
     """Send ``message``, pass its stream on to the caller, return how it ended."""
     began_s = trio.current_time()
     table.started(upstream)
-    ok = False
+    ok: bool | None = None
     try:
         with calls.open() as call:
             sent = await calls.start(call, message)
             if isinstance(sent, Err):
+                ok = False
                 return Failed(Code.PEER_LOST, Outcome.UNKNOWN, sent.text)
             result = await _follow(
                 call, table, upstream, req, answer, progress, began_s
             )
-        # A refusal is no failure of the upstream, so it must not eject it.
-        ok = isinstance(result, Whole) or result.outcome is Outcome.NOT_RUN
+        ok = _verdict(result)
         return result
+    except trio.Cancelled:
+        # Without an answer at the deadline the upstream failed; before it, the caller
+        # went away, which says nothing about the upstream.
+        if trio.current_time() >= began_s + message.deadline_ms / 1000:
+            ok = False
+        raise
     finally:
         table.finished(upstream, trio.current_time() - began_s, ok)
 
 
+def _verdict(result: AttemptResult) -> bool | None:
+    """Say whether the upstream worked; None when a refusal tells nothing of that."""
+    if isinstance(result, Whole):
+        return True
+    if result.outcome is Outcome.NOT_RUN and result.code is not Code.UPSTREAM_DOWN:
+        return None
+    return False
+
+
 async def _follow(
     call: Call,
     table: UpstreamTable,
--- a/src/mustardfront/programs/entry/_main.py
+++ b/src/mustardfront/programs/entry/_main.py
@@ -92,9 +92,10 @@
     budgets: dict[str, RetryBudget] = {}
 
     def budget_of(service: str) -> RetryBudget:
+        ratio = process.store.current.limits_of(service).retry_ratio
         if service not in budgets:
-            ratio = process.store.current.limits_of(service).retry_ratio
             budgets[service] = RetryBudget(ratio, RETRY_MINIMUM)
+        budgets[service].ratio = ratio
         return budgets[service]
 
     return budget_of
--- a/src/mustardfront/programs/sidecar/_side.py
+++ b/src/mustardfront/programs/sidecar/_side.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import sys
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Final
@@ -10,7 +9,6 @@
 import trio
 
 from mustardfront import events
-from mustardfront.codes import Code
 from mustardfront.coordination.config import ConfigStore
 from mustardfront.coordination.limits import AdaptiveLimit, FairQueue, Slot
 from mustardfront.coordination.peers import PeerHub
@@ -18,7 +16,7 @@
 from mustardfront.programs.sidecar._attempt import Attempt
 from mustardfront.programs.sidecar._upstream import UpstreamClient
 from mustardfront.protocol import Leaving, LoadReport, Request
-from mustardfront.results import Err, Result
+from mustardfront.results import Result
 from mustardfront.state import Limits
 
 # Weight of a new sample in the smoothed latency of the load report.
@@ -51,14 +49,12 @@
     suspect_turn: trio.Lock = field(default_factory=trio.Lock)
     drain_reasons: set[str] = field(default_factory=set)
     load_changed: trio.Event = field(default_factory=trio.Event)
-    _acquiring: int = 0
     # Says whether the upstream process that ran an attempt is gone; see ``Health``.
     confirm_loss: Callable[[Attempt], Awaitable[bool]] = _no_loss
 
     def __post_init__(self) -> None:
         self.quarantine = Quarantine(trio.current_time)
-        # The configured queue length changes, so acquire_slot bounds the queue.
-        self.queue = FairQueue(lambda: self.limit, sys.maxsize)
+        self.queue = FairQueue(lambda: self.limit, self.limits.queue)
         self.set_limits(self.limits)
 
     def set_limits(self, limits: Limits) -> None:
@@ -69,6 +65,7 @@
             self._adaptive = AdaptiveLimit(most, least, most)
             self._logged_limit = most
         self.limits = limits
+        self.queue.max_queued = limits.queue
 
     @property
     def limit(self) -> int:
@@ -77,15 +74,9 @@
 
     async def acquire_slot(self, req: Request, deadline_s: float) -> Result[Slot]:
         """Wait for the request's turn; an Err says why it does not get one."""
-        if self.queue.in_flight + self._acquiring >= self.limit + self.limits.queue:
-            return Err(Code.QUEUE_FULL, f"{self._acquiring} requests wait already")
         team = self.store.current.teams.get(req.team)
         weight = team.weight if team else 1
-        self._acquiring += 1
-        try:
-            return await self.queue.acquire(req.team, weight, req.priority, deadline_s)
-        finally:
-            self._acquiring -= 1
+        return await self.queue.acquire(req.team, weight, req.priority, deadline_s)
 
     @property
     def draining(self) -> bool:
