--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -50,11 +50,19 @@
     if unknown:
         raise click.UsageError(f"no measurement {unknown[0]}; there are: {[*known]}")
     sections: list[str] = []
-    # One process for each measurement keeps their memory figures apart.
+    failed: list[str] = []
     for name in names or known:
+        command = f"python -m bench {name} --seed {seed}"
+        # One process for each measurement keeps their memory figures apart.
         with ProcessPoolExecutor(max_workers=1) as pool:
-            report = pool.submit(run_one, name, seed).result()
-        section = to_markdown(report, f"python -m bench {name} --seed {seed}")
+            job = pool.submit(run_one, name, seed)
+        if (error := job.exception()) is not None:
+            failed.append(name)
+            sections.append(f"## {name}\n\nCommand: `{command}`\n\nFailed: {error!r}\n")
+            click.echo(f"{name} failed: {error!r}", err=True)
+            continue
+        report = job.result()
+        section = to_markdown(report, command)
         click.echo(section)
         sections.append(section)
         if not names:
@@ -63,6 +71,8 @@
     if not names:
         page = "\n".join([HEAD, *sections]).rstrip() + "\n"
         (DOCS / "measurements.md").write_text(page, encoding="utf-8")
+    if failed:
+        raise click.ClickException(f"failed: {', '.join(failed)}")
 
 
 if __name__ == "__main__":
--- a/bench/routing_load.py
+++ b/bench/routing_load.py
@@ -15,6 +15,9 @@
     "85%, 1 s late, one group 4x slower": Scenario(
         load=0.85, report_delay_s=1.0, slow={0: 4.0}
     ),
+    "85%, 1 s late, 4x slower group, 16 entries": Scenario(
+        load=0.85, report_delay_s=1.0, slow={0: 4.0}, entries=16
+    ),
     "85%, no prefixes": Scenario(load=0.85, prefix_share=0.0),
     "85%, no prefixes, reports 1 s late": Scenario(
         load=0.85, prefix_share=0.0, report_delay_s=1.0
@@ -46,7 +49,13 @@
             f"{ours.p99_s:.2f} s against {figures[SLOW, 'least_reported'].p99_s:.2f} s",
         ),
     ]
-    for condition in ("60% load", "85% load", "95% load", "85%, reports 1 s late"):
+    for condition in (
+        "60% load",
+        "85% load",
+        "95% load",
+        "85%, reports 1 s late",
+        SLOW,
+    ):
         ours, pure = (
             figures[condition, "default"],
             figures[condition, "prefix_affinity"],
