Let the torture run break a guarantee on purpose

Cause: a check that cannot fail proves nothing. Ruled out: stand-ins that misbehave, since those test the checks only and not the way to them; one function of the real programs is replaced before they start.

--- a/src/mustardfront_standins/system.py
+++ b/src/mustardfront_standins/system.py
@@ -39,6 +39,8 @@
     upstream_urls: dict[str, str]
     # Place and peer address of each entry.
     entry_peers: list[tuple[str, str]]
+    # A guarantee that the programs break on purpose, for the torture run.
+    broken: str = ""
 
     def programs(self) -> list[tuple[str, FleetProcess]]:
         """Return the project's own processes that were started, by name."""
@@ -118,7 +120,7 @@
         """Start the sidecar of an upstream."""
         return await self.fleet.start(
             f"sidecar-{plan.name}",
-            "mustardfront.programs.sidecar",
+            *self._program("sidecar"),
             *self._common(plan.host, plan.place, self.sidecar_addresses[plan.name]),
             "--upstream-name",
             plan.name,
@@ -132,7 +134,7 @@
         """Start an entry; ``number`` is its index in ``entry_urls``."""
         return await self.fleet.start(
             f"entry-{number + 1}",
-            "mustardfront.programs.entry",
+            *self._program("entry"),
             "--listen",
             self.entry_urls[number].removeprefix("http://"),
             *self._common(f"entry-host-{number + 1}", place, peer_listen),
@@ -147,12 +149,18 @@
         """Start the administration API."""
         return await self.fleet.start(
             "admin",
-            "mustardfront.programs.admin",
+            *self._program("admin"),
             "--listen",
             self.admin_url.removeprefix("http://"),
             *self._common("admin-host", place, peer_listen),
         )
 
+    def _program(self, role: str) -> tuple[str, ...]:
+        module = f"mustardfront.programs.{role}"
+        if not self.broken:
+            return (module,)
+        return ("mustardfront_standins.torture._broken", self.broken, module)
+
     def _common(self, host: str, place: str, peer_listen: str) -> tuple[str, ...]:
         return (
             "--peer-listen",
@@ -175,6 +183,7 @@
     plans: tuple[UpstreamPlan, ...],
     entries: int = 2,
     engine_args: EngineArgs = _no_args,
+    broken: str = "",
 ) -> System:
     """Start everything and wait until each process says that it is ready."""
     kv = await fleet.start_standin("kv", "kv", "--listen", "127.0.0.1:0")
@@ -191,6 +200,7 @@
         sidecar_addresses={plan.name: _address() for plan in plans},
         upstream_urls={},
         entry_peers=[],
+        broken=broken,
     )
     async with trio.open_nursery() as nursery:
         for plan in plans:
--- a/src/mustardfront_standins/torture/__main__.py
+++ b/src/mustardfront_standins/torture/__main__.py
@@ -13,6 +13,7 @@
 from mustardfront_standins.deployments import NETZWERK, UpstreamPlan, first_ticket
 from mustardfront_standins.fleet import Fleet
 from mustardfront_standins.system import start_system
+from mustardfront_standins.torture._broken import KINDS
 from mustardfront_standins.torture._faults import Faults
 from mustardfront_standins.torture._history import History, read_runs, violations
 from mustardfront_standins.torture._load import run_callers
@@ -29,14 +30,13 @@
 @click.option(
     "--break",
     "broken",
-    type=click.Choice(["none", "double-run", "swap-token"]),
-    default="none",
-    show_default=True,
+    type=click.Choice(sorted(KINDS)),
+    default=None,
     help="Break a guarantee on purpose; the run must then fail.",
 )
-def main(seed: int, seconds: float, callers: int, broken: str) -> None:
+def main(seed: int, seconds: float, callers: int, broken: str | None) -> None:
     """Run random faults over real processes; exit with 1 on any violation."""
-    found = trio.run(_run, seed, seconds, callers, broken)
+    found = trio.run(_run, seed, seconds, callers, broken or "")
     for text in found[:20]:
         click.echo(f"VIOLATION: {text}")
     click.echo(f"seed {seed}: {len(found)} violations")
@@ -50,12 +50,11 @@
 
         def upstream_args(plan: UpstreamPlan) -> tuple[str, ...]:
             if plan.kind == "model":
-                return ("--step-ms", "5", *_break_args(broken, "swap-token"))
-            log = str(fleet.folder / f"{plan.name}.runs")
-            return ("--run-log", log, *_break_args(broken, "double-run"))
+                return ("--step-ms", "5")
+            return ("--run-log", str(fleet.folder / f"{plan.name}.runs"))
 
         with trio.fail_after(_LIMIT_S):
-            system = await start_system(fleet, plans, 2, upstream_args)
+            system = await start_system(fleet, plans, 2, upstream_args, broken)
             await system.submit(
                 first_ticket((NETZWERK,), plans, system.sidecar_addresses)
             )
@@ -84,10 +83,6 @@
     return late + violations(history, runs)
 
 
-def _break_args(broken: str, kind: str) -> tuple[str, ...]:
-    return (f"--{kind}",) if broken == kind else ()
-
-
 def _print_counts(history: History, faults: Counter[str], runs: Counter[str]) -> None:
     for kind, count in sorted(faults.items()):
         click.echo(f"  {kind:<24} {count}")
