End the wait of callers when an owner stops, and bound only the handover

A request runs in the owner's own nursery, so that its caller's end does not cut it off. When serve() was cancelled while a request ran, run() waited for ever, and the sidecar cancelled it 10 s after a drain began, whatever still ran. Three new tests showed both: no outcome arrived.

serve() now ends with an outcome for each caller: unknown for a request that had started, not run for one that had not. drain() refuses new requests at once, waits for those that run without a limit but their own, and bounds only the handover; the sidecar passes its 10 s there.

--- a/src/mustardfront/coordination/idempotency/_members.py
+++ b/src/mustardfront/coordination/idempotency/_members.py
@@ -48,7 +48,11 @@
 
     def owner_of(self, partition: int) -> str:
         """Return the upstream that should own a partition, or ``""``."""
-        active = [name for name, member in self.view.items() if not member.leaving]
+        active = [
+            name
+            for name, member in self.view.items()
+            if not member.leaving and not (self.leaving and name == self._upstream)
+        ]
         return next(iter(owner_order(self._service, partition, active)), "")
 
     def upstream_of(self, instance: str) -> str:
@@ -61,7 +65,7 @@
     async def keep(self) -> None:
         """Register and renew the lease, until cancelled."""
         while not self._resigned:
-            done = await self._renew() if self._registered else await self._register()
+            done = await self._renew() if self._registered else await self.register()
             await trio.sleep(OWNER_KEEPALIVE_S if done else KV_RETRY_S)
 
     async def refresh(self) -> Result[None]:
@@ -76,18 +80,13 @@
         }
         return Ok(None)
 
-    async def leave(self) -> None:
-        """Tell the others to take over this sidecar's partitions."""
+    def set_leaving(self) -> None:
+        """Own nothing from now on; ``register`` tells the others."""
         self._member = Member(self._member.instance, leaving=True)
-        await self._register()
-
-    async def resign(self) -> None:
-        """Give up the lease, so that nobody waits for this sidecar."""
-        self._resigned = True
-        if self._lease:
-            await self._kv.lease_revoke(self._lease)
+        self._registered = False
 
-    async def _register(self) -> bool:
+    async def register(self) -> bool:
+        """Write this sidecar's key with a lease; say whether it is written."""
         if not self._lease:
             lease = await self._kv.lease_grant(OWNER_LEASE_S)
             if isinstance(lease, Err):
@@ -100,6 +99,12 @@
         self._registered = isinstance(put, Ok)
         return self._registered
 
+    async def resign(self) -> None:
+        """Give up the lease, so that nobody waits for this sidecar."""
+        self._resigned = True
+        if self._lease:
+            await self._kv.lease_revoke(self._lease)
+
     async def _renew(self) -> bool:
         renewed = await self._kv.lease_keepalive(self._lease)
         self._forget_lost(renewed)
--- a/src/mustardfront/coordination/idempotency/_owner.py
+++ b/src/mustardfront/coordination/idempotency/_owner.py
@@ -8,7 +8,7 @@
 import trio
 
 from mustardfront import events
-from mustardfront.codes import Code, Outcome
+from mustardfront.codes import Code
 from mustardfront.constants import (
     CLAIM_GROUP_S,
     CLAIM_WAIT_S,
@@ -19,7 +19,6 @@
     OWNER_CHECK_S,
     OWNER_RECHECK_S,
     RECORD_MAX_BYTES,
-    RECORDED_BODY_MAX_BYTES,
     RESULT_FLUSH_S,
 )
 from mustardfront.coordination.idempotency._execution import (
@@ -36,11 +35,9 @@
 from mustardfront.coordination.idempotency._members import Members
 from mustardfront.coordination.idempotency._record import (
     Claim,
-    Done,
     Hold,
     Item,
     Partition,
-    Void,
     head_key,
     load_partition,
     read_head,
@@ -49,6 +46,7 @@
     Running,
     join,
     recorded,
+    result_entry,
     run_guarded,
 )
 from mustardfront.coordination.idempotency._writer import RecordWriter, refuse_pending
@@ -116,24 +114,37 @@
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Keep the lease, the ownership and the records, until cancelled."""
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            nursery.start_soon(self._members.keep)
-            task_status.started()
-            while True:
-                await self._work()
-                await self._sleep()
-
-    async def drain(self) -> None:
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                nursery.start_soon(self._members.keep)
+                task_status.started()
+                while True:
+                    await self._work()
+                    await self._sleep()
+        finally:
+            self._nursery = None
+            for running in self._running.values():
+                running.abandon()
+            self._running.clear()
+            self._notify()
+
+    async def drain(self, handover_s: float = float("inf")) -> None:
         """Refuse new requests, end those that run, and give all partitions away.
 
-        The caller bounds the wait: it lasts while the key-value service is down.
+        Requests end without a limit but their own. Giving away lasts while the
+        key-value service is down, so it ends after ``handover_s``; then the others
+        take the partitions when the lease has ended.
         """
-        await self._members.leave()
-        self._ask_review(at_once=True)
-        while self._writer.owned or self._running:
+        self._members.set_leaving()
+        while self._running:
             await self._changed.wait()
-        await self._members.resign()
+        with trio.move_on_after(handover_s):
+            await self._members.register()
+            self._ask_review(at_once=True)
+            while self._writer.owned:
+                await self._changed.wait()
+            await self._members.resign()
 
     async def run(self, req: Request, execute: Execute) -> Execution:
         """Claim, run and record a request, or return what came of its first attempt.
@@ -169,19 +180,20 @@
         """Return an owned partition; wait for it while this sidecar is taking it."""
         give_up = min(deadline, trio.current_time() + CLAIM_WAIT_S)
         with trio.move_on_at(give_up):
-            while True:
+            while self._nursery is not None:
+                if self._members.leaving:
+                    return Err(Code.NOT_OWNER, self._members.owner_of(number))
                 partition = self._writer.owned.get(number)
                 if partition is not None and partition.hold is Hold.OWNED:
                     return Ok(partition)
                 if self._down is not None:
                     return self._down
                 owner = self._members.owner_of(number)
-                elsewhere = owner not in ("", self._upstream)
-                if self._ready and (elsewhere or self._members.leaving):
+                if self._ready and owner not in ("", self._upstream):
                     self._ask_review()
                     return Err(Code.NOT_OWNER, owner)
                 await self._changed.wait()
-        return Err(Code.NOT_READY, f"partition {number} is still being taken over")
+        return Err(Code.NOT_READY, f"partition {number} is not taken over here")
 
     def _refusal(self, partition: Partition, key: RequestKey) -> Execution | None:
         oldest_ms = self._now_ms() - self._retention_s() * 1_000
@@ -202,7 +214,8 @@
         partition.active += 1
         partition.pending.append(Item(claim, running.settle))
         self._wake.set()
-        assert self._nursery is not None, "serve() is not running"
+        # Without a checkpoint since the partition was found, serve() still runs.
+        assert self._nursery is not None
         self._nursery.start_soon(self._attempt, running, execute)
         try:
             give_up = min(running.deadline, trio.current_time() + CLAIM_WAIT_S)
@@ -248,13 +261,9 @@
             return
         if known.claim.owner != self._instance:
             return
-        if result.outcome is Outcome.NOT_RUN:
-            partition.append(Void(digest))
-        elif result.outcome is Outcome.ANSWERED:
-            body = result.body
-            stored = body if len(body) <= RECORDED_BODY_MAX_BYTES else None
-            headers = result.headers if stored is not None else ()
-            partition.append(Done(digest, result.status, headers, stored))
+        entry = result_entry(digest, result)
+        if entry is not None:
+            partition.append(entry)
         self._results_since = min(self._results_since, trio.current_time())
 
     def _lose(self, partition: Partition, instance: str) -> None:
@@ -319,7 +328,6 @@
         self._ready = True
         for number in range(IDEMPOTENCY_PARTITIONS):
             mine = self._members.owner_of(number) == self._upstream
-            mine = mine and not self._members.leaving
             partition = self._writer.owned.get(number)
             if partition is None:
                 result = await self._take(number) if mine else result
--- a/src/mustardfront/coordination/idempotency/_running.py
+++ b/src/mustardfront/coordination/idempotency/_running.py
@@ -8,6 +8,7 @@
 
 from mustardfront import events
 from mustardfront.codes import Code, Outcome
+from mustardfront.constants import RECORDED_BODY_MAX_BYTES
 from mustardfront.coordination.idempotency._execution import (
     Execute,
     Execution,
@@ -15,7 +16,12 @@
     unknown,
 )
 from mustardfront.coordination.idempotency._key import RequestKey
-from mustardfront.coordination.idempotency._record import Known, Partition
+from mustardfront.coordination.idempotency._record import (
+    Done,
+    Known,
+    Partition,
+    Void,
+)
 from mustardfront.results import Err
 
 
@@ -48,6 +54,17 @@
         self.withdrawn = err
         return not_run(err)
 
+    def abandon(self) -> None:
+        """End the wait of all callers, when the owner stops before the request."""
+        if self.started:
+            text = "the owner stopped while the request ran"
+            self.result = unknown(Code.CLAIM_UNRESOLVED, text)
+        else:
+            text = "the owner stopped before the request started"
+            self.result = self.withdraw(Err(Code.NOT_READY, text))
+        self.settled.set()
+        self.done.set()
+
 
 async def join(running: Running, digest: bytes, deadline: float) -> Execution:
     """Wait for the first attempt with the same key."""
@@ -79,6 +96,17 @@
     )
 
 
+def result_entry(digest: bytes, result: Execution) -> Done | Void | None:
+    """Return what to record of a claimed request; nothing when its end is unknown."""
+    if result.outcome is Outcome.NOT_RUN:
+        return Void(digest)
+    if result.outcome is Outcome.UNKNOWN:
+        return None
+    if len(result.body) > RECORDED_BODY_MAX_BYTES:
+        return Done(digest, result.status, (), None)
+    return Done(digest, result.status, result.headers, result.body)
+
+
 async def run_guarded(execute: Execute) -> Execution:
     """Run the request; an exception leaves it unknown whether it ran."""
     try:
--- a/src/mustardfront/programs/sidecar/_owned.py
+++ b/src/mustardfront/programs/sidecar/_owned.py
@@ -57,8 +57,7 @@
             side.owner = owner
             while _owned_service(side) == service:
                 await side.load_changed.wait()
-            with trio.move_on_after(OWNER_DRAIN_S):
-                await owner.drain()
+            await owner.drain(OWNER_DRAIN_S)
             nursery.cancel_scope.cancel()
         side.owner = None
         side.changed()
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -233,6 +233,49 @@
         assert sorted(test.runs) == sorted(mine)
 
 
+async def test_drain_during_an_outage_still_ends_running_requests(autojump_clock):
+    # Guards against a shutdown that cuts off a call because handing over takes long.
+    async with fleet() as test:
+        owner, kv, _ = await test.start("a")
+        results = []
+        test.took_s = 25
+
+        async def call() -> None:
+            results.append(await test.run(owner, make_key(1)))
+
+        test.nursery.start_soon(call)
+        await trio.sleep(1)
+        kv.down = True
+        with trio.fail_after(60):
+            await owner.drain(handover_s=10)
+        assert [result.code for result in results] == [Code.ANSWERED]
+
+
+@pytest.mark.parametrize("held", [False, True])
+async def test_end_of_serving_answers_the_callers_that_wait(autojump_clock, held):
+    # Guards against callers that wait for ever for an owner that was stopped.
+    async with fleet() as test:
+        owner, kv, scope = await test.start("a")
+        await test.run(owner, make_key(0))
+        results = []
+        test.took_s = 100
+
+        async def call() -> None:
+            results.append(await test.run(owner, make_key(1)))
+
+        if held:
+            kv.hold()
+        test.nursery.start_soon(call)
+        await trio.sleep(1)
+        scope.cancel()
+        await trio.sleep(1)
+        outcome = Outcome.NOT_RUN if held else Outcome.UNKNOWN
+        assert [result.outcome for result in results] == [outcome]
+        assert test.runs.count(make_key(1)) == (0 if held else 1)
+        late = await test.run(owner, make_key(2))
+        assert (late.code, late.outcome) == (Code.NOT_READY, Outcome.NOT_RUN)
+
+
 async def test_caller_that_leaves_before_the_claim_frees_the_key(autojump_clock):
     async with fleet() as test:
         owner, kv, _ = await test.start("a")
