Keep coordinating through an outage of the key-value service

A coordinator whose lease could not be renewed gave up after 10 s, and ranks with an open vote then waited for the whole outage. It now goes on until the service says that the lease is gone, and begins no new switch while that is uncertain.

--- a/src/mustardfront/coordination/expertmap/_lease.py
+++ b/src/mustardfront/coordination/expertmap/_lease.py
@@ -47,12 +47,20 @@
         """End a lease."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Term:
-    """A coordinator's lease and its fencing number: the revision of its key."""
+    """A coordinator's lease and its fencing number: the revision of its key.
+
+    ``renewed_at`` is trio's time of the last call that surely renewed the lease.
+    """
 
     lease: int
     fence: int
+    renewed_at: float
+
+    def is_certain(self) -> bool:
+        """Say whether the lease surely still holds."""
+        return trio.current_time() - self.renewed_at < LEASE_TTL_S
 
 
 async def campaign(kv: LeaseStore, group: str, name: str) -> Term:
@@ -73,6 +81,7 @@
     held = await kv.get(key)
     if isinstance(held, Err) or held.value is not None:
         return None
+    asked_at = trio.current_time()
     lease = await kv.lease_grant(LEASE_TTL_S)
     if isinstance(lease, Err):
         return None
@@ -80,11 +89,11 @@
     value = f"{name}/{lease.value}".encode()
     written = await kv.txn({key: 0}, {key: value}, lease=lease.value)
     if isinstance(written, Ok) and written.value.succeeded:
-        return Term(lease.value, written.value.revision)
+        return Term(lease.value, written.value.revision, asked_at)
     if isinstance(written, Err) and written.code is Code.WRITE_UNKNOWN:
         found = await kv.get(key)
         if isinstance(found, Ok) and found.value and found.value.value == value:
-            return Term(lease.value, found.value.mod_revision)
+            return Term(lease.value, found.value.mod_revision, asked_at)
     await kv.lease_revoke(lease.value)
     return None
 
@@ -92,8 +101,9 @@
 async def hold(kv: LeaseStore, term: Term, lead: Callable[[], Awaitable[None]]) -> None:
     """Run ``lead`` while the lease is renewed; end it when the lease is lost.
 
-    While the service does not answer, ``lead`` goes on for the lease's lifetime: its
-    safety does not depend on the lease, but two coordinators disturb each other.
+    While the service does not answer, ``lead`` goes on: its safety does not depend on
+    the lease, and without a coordinator ranks would wait at an open vote for as long
+    as the service is down.
     """
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_renew, kv, term, nursery.cancel_scope)
@@ -104,16 +114,13 @@
 
 
 async def _renew(kv: LeaseStore, term: Term, scope: trio.CancelScope) -> None:
-    renewed_at = trio.current_time()
     while True:
         await trio.sleep(RENEW_INTERVAL_S)
         asked_at = trio.current_time()
         renewed = await kv.lease_keepalive(term.lease)
         if isinstance(renewed, Ok):
-            renewed_at = asked_at
-            continue
-        lost = renewed.code is Code.LEASE_LOST
-        if lost or trio.current_time() - renewed_at >= LEASE_TTL_S:
+            term.renewed_at = asked_at
+        elif renewed.code is Code.LEASE_LOST:
             events.log(events.Event.COORDINATOR_CHANGED, held=False, text=renewed.text)
             scope.cancel()
             return
--- a/src/mustardfront/coordination/expertmap/_run.py
+++ b/src/mustardfront/coordination/expertmap/_run.py
@@ -24,9 +24,9 @@
     tend,
 )
 from mustardfront.coordination.expertmap._lease import (
-    CAMPAIGN_INTERVAL_S,
     CANDIDATES,
     LeaseStore,
+    Term,
     campaign,
     hold,
 )
@@ -39,6 +39,8 @@
 ROUND_INTERVAL_S: Final = 1.0
 # All ranks' states are read this often even when the front's steps go on.
 FULL_ROUND_INTERVAL_S: Final = 60.0
+# How often a sidecar looks whether it has become a candidate.
+CONFIG_INTERVAL_S: Final = 1.0
 RANK_CALL_TIMEOUT_S: Final = 2.0
 # The step of a switch leaves this many times the transfer's expected time, and at
 # least this long, so that ranks have voted before they reach it.
@@ -104,7 +106,7 @@
     while True:
         found = group_of(config(), upstream)
         if found is None or upstream not in found[1].ranks[:CANDIDATES]:
-            await trio.sleep(CAMPAIGN_INTERVAL_S)
+            await trio.sleep(CONFIG_INTERVAL_S)
             continue
         name = found[0]
         term = await campaign(kv, name, identity.instance)
@@ -112,7 +114,7 @@
             events.Event.COORDINATOR_CHANGED, group=name, held=True, fence=term.fence
         )
         links = GroupLinks(name, upstream, desk, identity, key)
-        lead = partial(_lead, upstream, config, links, term.fence, connect)
+        lead = partial(_lead, upstream, config, links, term, connect)
         await hold(kv, term, lead)
 
 
@@ -120,7 +122,7 @@
     upstream: str,
     config: Callable[[], Config],
     links: GroupLinks,
-    fence: int,
+    term: Term,
     connect: Connect,
 ) -> None:
     """Lead until fenced off; each change of the group begins with new links."""
@@ -142,27 +144,32 @@
         co = Coordinator(
             name,
             group.ranks,
-            fence,
-            partial(links.ask, fence),
+            term.fence,
+            partial(links.ask, term.fence),
             trio.sleep,
             lambda group=group: first_map(  # type: ignore[misc]
                 group.layers, group.experts, len(group.ranks), group.slots_per_rank
             ),
         )
         async with links.open(addresses, connect):
-            if await _rounds(co, group, same_group):
+            if await _rounds(co, group, same_group, term.is_certain):
                 return
 
 
 async def _rounds(
-    co: Coordinator, group: Group, same_group: Callable[[], bool]
+    co: Coordinator,
+    group: Group,
+    same_group: Callable[[], bool],
+    may_switch: Callable[[], bool],
 ) -> bool:
     """Run rounds; True when another coordinator took over, False on a new group."""
     balance = Balance(group)
     quiet: States | None = None
     read_at = trio.current_time()
     while same_group():
-        done, quiet, read_at = await run_round(co, balance, quiet, read_at)
+        # No switch begins that a successor could not finish while the service is down.
+        chosen = balance if may_switch() else None
+        done, quiet, read_at = await run_round(co, chosen, quiet, read_at)
         if isinstance(done, Err) and done.code is Code.FENCED:
             events.log(
                 events.Event.COORDINATOR_CHANGED,
@@ -177,7 +184,7 @@
 
 
 async def run_round(
-    co: Coordinator, balance: Balance, quiet: States | None, read_at: float
+    co: Coordinator, balance: Balance | None, quiet: States | None, read_at: float
 ) -> tuple[Result[Any], States | None, float]:
     """Do one round; return its outcome, the states if quiet, and when all were read."""
     now = trio.current_time()
@@ -190,8 +197,8 @@
         if isinstance(done, Err):
             return done, None, read_at
         quiet, read_at = done.value, now
-    if quiet is None:
-        return Ok(None), None, read_at
+    if quiet is None or balance is None:
+        return Ok(None), quiet, read_at
     proposals = co.proposals
     balanced = await balance.step(co, quiet)
     return balanced, quiet if co.proposals == proposals else None, read_at
