Settle open votes while nobody can win a term

With the key-value service down and its coordinator gone, a group with an open vote stood still. A candidate whose rank stands still now settles open votes: their outcome depends on the votes alone, and it proposes nothing. Test: SIGSTOP of the service during a switch whose coordinator dies; the group goes on.

--- a/src/mustardfront/coordination/expertmap/_coordinator.py
+++ b/src/mustardfront/coordination/expertmap/_coordinator.py
@@ -161,6 +161,15 @@
     co.settled = max([co.settled, *set.intersection(*versions)])
 
 
+async def settle_open(co: Coordinator, states: States) -> Result[None]:
+    """Settle all open votes; this proposes nothing, so it needs no fence of its own."""
+    for vote in open_votes(states, form=not is_formed(states)):
+        settled = await settle(co, vote)
+        if isinstance(settled, Err):
+            return settled
+    return Ok(None)
+
+
 async def settle(co: Coordinator, vote: Vote) -> Result[bool]:
     """Bring an open vote to its outcome and pass that on; Ok says what it is.
 
--- a/src/mustardfront/coordination/expertmap/_lease.py
+++ b/src/mustardfront/coordination/expertmap/_lease.py
@@ -63,24 +63,36 @@
         return trio.current_time() - self.renewed_at < LEASE_TTL_S
 
 
-async def campaign(kv: LeaseStore, group: str, name: str) -> Term:
+async def _nothing() -> None:
+    return
+
+
+async def campaign(
+    kv: LeaseStore,
+    group: str,
+    name: str,
+    on_outage: Callable[[], Awaitable[None]] = _nothing,
+) -> Term:
     """Return a term once the group's key is free; try until cancelled.
 
+    ``on_outage`` runs after each try that the service did not answer.
+
     The fence is the revision of the write that created the key, so a later term
     always has a higher one. A write whose answer was lost is read back.
     """
     key = PREFIX + group
     while True:
-        term = await _try_campaign(kv, key, name)
-        if term is not None:
-            return term
+        held = await kv.get(key)
+        if isinstance(held, Err):
+            await on_outage()
+        elif held.value is None:
+            term = await _try_campaign(kv, key, name)
+            if term is not None:
+                return term
         await trio.sleep(CAMPAIGN_INTERVAL_S)
 
 
 async def _try_campaign(kv: LeaseStore, key: str, name: str) -> Term | None:
-    held = await kv.get(key)
-    if isinstance(held, Err) or held.value is not None:
-        return None
     asked_at = trio.current_time()
     lease = await kv.lease_grant(LEASE_TTL_S)
     if isinstance(lease, Err):
--- a/src/mustardfront/coordination/expertmap/_rank.py
+++ b/src/mustardfront/coordination/expertmap/_rank.py
@@ -64,7 +64,12 @@
 
 async def _carry_out(rank: LocalRank, order: Order) -> Result[dict[str, Any]]:
     if order.kind in _READS:
-        return await _call(rank, "GET", _READS[order.kind], None)
+        answer = await _call(rank, "GET", _READS[order.kind], None)
+        if order.kind == "state" and isinstance(answer, Ok):
+            # A rank that ignores fences does not know the one this sidecar checks.
+            fence = max(rank.fence, answer.value.get("fence", 0))
+            return Ok(answer.value | {"fence": fence})
+        return answer
     if order.kind not in _ORDERS:
         return Err(Code.BAD_MESSAGE, f"no order {order.kind!r}")
     try:
--- a/src/mustardfront/coordination/expertmap/_run.py
+++ b/src/mustardfront/coordination/expertmap/_run.py
@@ -20,6 +20,8 @@
     States,
     peek,
     read_map,
+    read_states,
+    settle_open,
     switch,
     tend,
 )
@@ -32,6 +34,7 @@
 )
 from mustardfront.coordination.expertmap._links import Connect, GroupLinks, OrderDesk
 from mustardfront.coordination.expertmap._rank import RankCall
+from mustardfront.coordination.expertmap._types import parse_state
 from mustardfront.protocol import Identity, connect_peer
 from mustardfront.results import Err, Ok, Result
 from mustardfront.state import Config, ExpertMap, Group, count_moves, first_map
@@ -39,6 +42,9 @@
 ROUND_INTERVAL_S: Final = 1.0
 # All ranks' states are read this often even when the front's steps go on.
 FULL_ROUND_INTERVAL_S: Final = 60.0
+# Tries of a candidate to reach all ranks while the key-value service is down.
+ASSIST_TRIES: Final = 5
+ASSIST_INTERVAL_S: Final = 0.5
 # How often a sidecar looks whether it has become a candidate.
 CONFIG_INTERVAL_S: Final = 1.0
 RANK_CALL_TIMEOUT_S: Final = 2.0
@@ -108,8 +114,10 @@
         if found is None or upstream not in found[1].ranks[:CANDIDATES]:
             await trio.sleep(CONFIG_INTERVAL_S)
             continue
-        name = found[0]
-        term = await campaign(kv, name, identity.instance)
+        name, group = found
+        stand_in = _StandIn(upstream, config, desk, identity, key, connect)
+        assist = partial(stand_in.assist, name, group)
+        term = await campaign(kv, name, identity.instance, assist)
         events.log(
             events.Event.COORDINATOR_CHANGED, group=name, held=True, fence=term.fence
         )
@@ -118,6 +126,66 @@
         await hold(kv, term, lead)
 
 
+class _StandIn:
+    """What a candidate does for a stopped group while nobody can win a term."""
+
+    def __init__(
+        self,
+        upstream: str,
+        config: Callable[[], Config],
+        desk: OrderDesk,
+        identity: Identity,
+        key: bytes,
+        connect: Connect,
+    ) -> None:
+        self._upstream = upstream
+        self._config = config
+        self._desk = desk
+        self._identity = identity
+        self._key = key
+        self._connect = connect
+        self._step = -1
+
+    async def assist(self, name: str, group: Group) -> None:
+        """Settle open votes when the local rank stands still since the last call.
+
+        The outcome depends on the votes alone, so this needs no lease: it uses the
+        newest fence that the ranks know. A coordinator with a newer one goes first.
+        """
+        links = GroupLinks(name, self._upstream, self._desk, self._identity, self._key)
+        ask = partial(links.ask, 0)
+        answer = (await ask({self._upstream: ("state", {})}))[self._upstream]
+        local = answer if isinstance(answer, Err) else parse_state(answer.value)
+        if isinstance(local, Err):
+            return
+        before, self._step = self._step, local.value.step
+        if before != self._step:
+            return
+        co = Coordinator(name, group.ranks, 0, ask, trio.sleep, _no_map)
+        addresses = _addresses(self._config(), group)
+        async with links.open(addresses, self._connect):
+            for _ in range(ASSIST_TRIES):
+                await trio.sleep(ASSIST_INTERVAL_S)
+                states = await read_states(co)
+                if isinstance(states, Ok):
+                    co.fence = max(state.fence for state in states.value.values())
+                    co.ask = partial(links.ask, co.fence)
+                    await settle_open(co, states.value)
+                    return
+
+
+def _no_map() -> Err:
+    return Err(Code.MAP_INVALID, "no group is formed without a term")
+
+
+def _addresses(cfg: Config, group: Group) -> dict[str, str]:
+    return {
+        rank: cfg.upstreams[rank].address
+        for rank in group.ranks
+        if rank in cfg.upstreams
+    }
+
+
 async def _lead(
     upstream: str,
     config: Callable[[], Config],
@@ -132,11 +200,7 @@
         if found is None:
             return
         name, group = found
-        addresses = {
-            rank: cfg.upstreams[rank].address
-            for rank in group.ranks
-            if rank in cfg.upstreams
-        }
+        addresses = _addresses(cfg, group)
 
         def same_group(expected: tuple[str, Group] = found) -> bool:
             return group_of(config(), upstream) == expected
--- a/tests/test_expertmap_processes.py
+++ b/tests/test_expertmap_processes.py
@@ -142,6 +142,8 @@
         # The first rank's sidecar is the first to campaign, so it coordinates.
         ("sidecar-w0", signal.SIGKILL),
         ("sidecar-w0", signal.SIGSTOP),
+        # Nobody can win a term then, but the open vote must not stop the group.
+        ("kv", signal.SIGSTOP),
     ],
 )
 async def test_a_fault_during_a_switch_leaves_one_map_in_each_step(target, action):
@@ -163,7 +165,9 @@
             await trio.sleep(1.0)
             # This coordinator dies too, with its vote open.
             nursery.cancel_scope.cancel()
-        if action is signal.SIGSTOP:
+        if target == "kv":
+            pass  # It stays frozen until the test ends.
+        elif action is signal.SIGSTOP:
             fleet.processes[target].send_signal(signal.SIGCONT)
         else:
             await fleet.processes[target].process.wait()
