--- a/bench/coordinator.py
+++ b/bench/coordinator.py
@@ -22,10 +22,10 @@
     States,
     tend,
 )
+from mustardfront.coordination.expertmap._balance import Balance
 from mustardfront.coordination.expertmap._run import (
     FULL_ROUND_INTERVAL_S,
     ROUND_INTERVAL_S,
-    Balance,
     run_round,
 )
 from mustardfront.protocol import Identity, connect_peer
--- a/tests/test_expertmap.py
+++ b/tests/test_expertmap.py
@@ -14,8 +14,9 @@
     rank_orders,
     tend,
 )
+from mustardfront.coordination.expertmap._balance import Balance
 from mustardfront.coordination.expertmap._coordinator import peek
-from mustardfront.coordination.expertmap._run import Balance, run_round
+from mustardfront.coordination.expertmap._run import run_round
 from mustardfront.protocol import Order
 from mustardfront.results import Err, Ok
 from mustardfront.state import Group, first_map, rank_loads
