Send calls that must not be repeated on a new connection

An idle connection may be closed by the upstream between the check and the write, and such a call is then unknown for ever; a new connection costs less than its claim.

--- a/src/mustardfront/programs/sidecar/_relay.py
+++ b/src/mustardfront/programs/sidecar/_relay.py
@@ -137,7 +137,8 @@
         attempt.instance = side.instance
         await attempt.send(Started(attempt.req.stream))
 
-    async with side.client.exchange(call, hand_over) as answer:
+    reuse = attempt.req.idempotent
+    async with side.client.exchange(call, hand_over, reuse=reuse) as answer:
         if isinstance(answer, Err):
             if not attempt.handed_over:
                 return attempt.refused(answer, RETRY_AFTER_MS)
--- a/src/mustardfront/programs/sidecar/_upstream.py
+++ b/src/mustardfront/programs/sidecar/_upstream.py
@@ -100,13 +100,17 @@
         self,
         call: UpstreamCall,
         before_write: Callable[[], Awaitable[None]] | None = None,
+        *,
+        reuse: bool = True,
     ) -> AsyncIterator[Result[Answer]]:
         """Send a request and yield its answer, or why there is none.
 
         ``before_write`` runs immediately before the first byte is written. When it
-        did not run, the upstream has seen nothing of the request.
+        did not run, the upstream has seen nothing of the request. Without ``reuse``
+        the connection is a new one: an idle one may be closed by the upstream while
+        the request is written, and then nobody knows whether it ran.
         """
-        conn = await self._take()
+        conn = await self._take() if reuse else self._new()
         response: httpcore.Response | None = None
         result: Result[Answer]
         try:
@@ -134,6 +138,9 @@
             if conn.is_available() and not conn.has_expired():
                 return conn
             await conn.aclose()
+        return self._new()
+
+    def _new(self) -> httpcore.AsyncHTTPConnection:
         return httpcore.AsyncHTTPConnection(
             self._origin, keepalive_expiry=KEEP_IDLE_S, network_backend=self._network
         )
--- a/tests/test_sidecar_attempts.py
+++ b/tests/test_sidecar_attempts.py
@@ -62,7 +62,7 @@
         self.running = self.most_running = 0
 
     @asynccontextmanager
-    async def exchange(self, call, before_write=None):
+    async def exchange(self, call, before_write=None, *, reuse=True):
         answer = self.script(call)
         if answer is REFUSED:
             yield answer
