Refuse malformed bodies and damaged members without ending the process

A field of a wrong type ended the whole key-value stand-in, and a member's key that is no JSON ended the owner's task. The first is answered 400, the second is logged and owns nothing.

The state machine also drains owners now.

--- a/src/mustardfront/coordination/idempotency/_members.py
+++ b/src/mustardfront/coordination/idempotency/_members.py
@@ -10,6 +10,7 @@
 import msgspec
 import trio
 
+from mustardfront import events
 from mustardfront.codes import Code
 from mustardfront.constants import KV_RETRY_S, OWNER_KEEPALIVE_S, OWNER_LEASE_S
 from mustardfront.coordination.idempotency._key import owner_order
@@ -74,10 +75,16 @@
         values = await self._kv.get_prefix(prefix)
         if isinstance(values, Err):
             return values
-        self.view = {
-            key.removeprefix(prefix): msgspec.json.decode(value.value, type=Member)
-            for key, value in values.value.items()
-        }
+        view = {}
+        for key, value in values.value.items():
+            name = key.removeprefix(prefix)
+            try:
+                view[name] = msgspec.json.decode(value.value, type=Member)
+            except msgspec.DecodeError as exc:
+                # An unreadable member owns nothing, and the others go on.
+                text = f"member {name} is damaged: {exc}"
+                events.log(events.Event.TASK_FAILED, task="members", text=text)
+        self.view = view
         return Ok(None)
 
     def set_leaving(self) -> None:
--- a/src/mustardfront_standins/kv/_gateway.py
+++ b/src/mustardfront_standins/kv/_gateway.py
@@ -69,7 +69,9 @@
         }
 
     def _range(self, body: Json) -> Json:
-        found = self.store.get_range(_bytes(body, "key"), _bytes(body, "range_end"))
+        found = self.store.get_range(
+            decode_field(body, "key"), decode_field(body, "range_end")
+        )
         answer: Json = {"header": self.header()}
         if found:
             answer["kvs"] = [_key_value(key, entry) for key, entry in found]
@@ -91,7 +93,9 @@
                 responses.append({"response_put": {}})
             elif "request_delete_range" in operation:
                 target = operation["request_delete_range"]
-                deletes.append((_bytes(target, "key"), _bytes(target, "range_end")))
+                deletes.append(
+                    (decode_field(target, "key"), decode_field(target, "range_end"))
+                )
                 responses.append({"response_delete_range": {}})
             elif "request_range" in operation:
                 answer = self._range(operation["request_range"])
@@ -109,12 +113,12 @@
     def _compare(self, compare: Json) -> bool:
         if compare.get("target") != "MOD" or compare.get("result", "EQUAL") != "EQUAL":
             raise GatewayError(INVALID_ARGUMENT, "only MOD EQUAL is in this stand-in")
-        entry = self.store.get(_bytes(compare, "key"))
+        entry = self.store.get(decode_field(compare, "key"))
         revision = entry.mod_revision if entry else 0
         return revision == int(compare.get("mod_revision", 0))
 
     def _checked_put(self, body: Json) -> tuple[bytes, bytes, int]:
-        key, value = _bytes(body, "key"), _bytes(body, "value")
+        key, value = decode_field(body, "key"), decode_field(body, "value")
         lease = int(body.get("lease", 0))
         if not key:
             raise GatewayError(INVALID_ARGUMENT, "etcdserver: key is not provided")
@@ -143,7 +147,8 @@
         return {"header": self.header()}
 
 
-def _bytes(body: Json, name: str) -> bytes:
+def decode_field(body: Json, name: str) -> bytes:
+    """Return a base64 field; an absent one is empty."""
     try:
         return b64decode(body.get(name, ""), validate=True)
     except ValueError as exc:
--- a/src/mustardfront_standins/kv/_server.py
+++ b/src/mustardfront_standins/kv/_server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from base64 import b64decode
 from typing import Any, Final
 
 import h11
@@ -18,6 +17,7 @@
     Gateway,
     GatewayError,
     Json,
+    decode_field,
 )
 from mustardfront_standins.kv._store import Store
 
@@ -119,7 +119,10 @@
                 status, answer = 404, {"code": 5, "message": "Not Found"}
         except GatewayError as exc:
             status = STATUS_OF[exc.code]
-            answer = {"code": exc.code, "message": str(exc), "error": str(exc)}
+            answer = _error(exc.code, str(exc))
+        except (ValueError, TypeError, AttributeError, KeyError) as exc:
+            # A field has the wrong type; the call has changed nothing yet.
+            status, answer = 400, _error(INVALID_ARGUMENT, f"bad request: {exc!r}")
         if answer is not None:
             await self._send(status, answer)
 
@@ -165,8 +168,8 @@
                 raise _CutError
 
     async def _watch(self, request: Json) -> None:
-        key = b64decode(request.get("key", ""))
-        end = b64decode(request.get("range_end", ""))
+        key = decode_field(request, "key")
+        end = decode_field(request, "range_end")
         store = self._gateway.store
         start = int(request.get("start_revision", 0)) or store.revision + 1
         headers = [
@@ -226,6 +229,10 @@
             await self._stream.send_all(data)
 
 
+def _error(code: int, text: str) -> Json:
+    return {"code": code, "message": text, "error": text}
+
+
 def _parse(body: bytes) -> Json:
     try:
         return msgspec.json.decode(body or b"{}", type=dict[str, Any])
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -406,7 +406,8 @@
     async with fleet() as test:
         key = make_key(1)
         damaged = f"/mustardfront/idem/ledger/{partition_of(key):02d}".encode()
-        test.store.apply([(damaged, b"\xc1", 0)], [])
+        member = b"/mustardfront/idem-members/ledger/b"
+        test.store.apply([(damaged, b"\xc1", 0), (member, b"{", 0)], [])
         owner, _, _ = await test.start("a")
         result = await test.run(owner, key)
         assert (result.code, result.outcome) == (Code.NOT_READY, Outcome.NOT_RUN)
--- a/tests/test_idempotency_machine.py
+++ b/tests/test_idempotency_machine.py
@@ -196,6 +196,13 @@
             self.start_owner(name)
         self.host.settle()
 
+    @rule(pick=st.integers(0, 9))
+    def drain(self, pick) -> None:
+        _, owner, _, process = self.owners[pick % len(self.owners)]
+        if not process.cancel_scope.cancel_called:
+            self.host.token.run_sync_soon(process.start_soon, owner.drain, 10)
+            self.host.settle()
+
     @rule(seconds=st.sampled_from([0.004, 0.01, 0.03, 0.6, 4.0, 16.0]))
     def wait(self, seconds) -> None:
         self.host.advance(seconds)
--- a/tests/test_kv.py
+++ b/tests/test_kv.py
@@ -96,3 +96,23 @@
     async with KvClient("http://127.0.0.1:9") as nobody:
         refused = await nobody.txn({}, {"/k": b""})
         assert isinstance(refused, Err) and refused.code is Code.STORE_UNAVAILABLE
+
+
+@pytest.mark.parametrize(
+    ("path", "body"),
+    [
+        ("/v3/kv/txn", b"{"),
+        ("/v3/kv/txn", b"[]"),
+        ("/v3/kv/txn", b'{"compare": 3}'),
+        ("/v3/kv/txn", b'{"success": [3]}'),
+        ("/v3/kv/range", b'{"key": 1}'),
+        ("/v3/lease/grant", b'{"TTL": "x"}'),
+        ("/v3/watch", b'{"create_request": {"key": "%"}}'),
+        ("/v3/watch", b'{"create_request": {"start_revision": "x"}}'),
+    ],
+)
+async def test_bad_bodies_are_refused_and_the_service_goes_on(path, body):
+    async with running_kv() as (kv, url), httpcore.AsyncConnectionPool() as pool:
+        answer = await pool.request("POST", url + path, content=body)
+        assert answer.status == 400
+        assert await kv.get("/k") == Ok(None)
