Choose ports outside the range of outgoing connections

Cause: a launcher took a free port from the kernel's range for outgoing connections; before the program listened, some connection had taken it. Ports now come from 10000 to 31999.

--- a/src/mustardfront_standins/fleet.py
+++ b/src/mustardfront_standins/fleet.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -21,13 +22,31 @@
 _START_TIMEOUT_S: Final = 30.0
 _STOP_TIMEOUT_S: Final = 20.0
 _EVENTS_KEPT: Final = 50_000
+_PORT_FIRST: Final = 10_000
+_PORT_END: Final = 32_000
+_PORT_TRIES: Final = 200
+_PORTS_GIVEN: Final[set[int]] = set()
+_RANDOM: Final = random.SystemRandom()
 
 
 def free_port() -> int:
-    """Return a TCP port of the loopback address that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """Return a TCP port of the loopback address that is free now.
+
+    It lies below the range from which the kernel takes the ports of outgoing
+    connections, since one of those could occupy it before a program listens.
+    """
+    for _ in range(_PORT_TRIES):
+        port = _RANDOM.randrange(_PORT_FIRST, _PORT_END)
+        if port in _PORTS_GIVEN:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _PORTS_GIVEN.add(port)
+        return port
+    raise RuntimeError("no free port")
 
 
 @dataclass(slots=True)
--- a/src/mustardfront_standins/system.py
+++ b/src/mustardfront_standins/system.py
@@ -51,8 +51,8 @@
             if name.startswith(own)
         ]
 
-    async def cli(self, *args: str, check: bool = True) -> str:
-        """Run the operators' command line and return what it printed."""
+    async def run_cli(self, *args: str) -> tuple[int, str]:
+        """Run the operators' command line; return its exit code and what it printed."""
         result = await trio.run_process(
             [sys.executable, "-m", "mustardfront.programs.cli", *args],
             capture_stdout=True,
@@ -66,15 +66,27 @@
             },
         )
         text = (result.stdout + result.stderr).decode()
-        if check and result.returncode:
-            raise RuntimeError(f"{args} ended with {result.returncode}: {text}")
-        return text.rstrip()
+        return result.returncode, text.rstrip()
 
-    async def submit(self, ticket: Mapping[str, Any], check: bool = True) -> str:
-        """Submit a ticket with the command line."""
+    async def cli(self, *args: str) -> str:
+        """Run the command line; raise RuntimeError when it does not end with 0."""
+        code, text = await self.run_cli(*args)
+        if code:
+            raise RuntimeError(f"{args} ended with {code}: {text}")
+        return text
+
+    async def submit(self, ticket: Mapping[str, Any]) -> str:
+        """Submit a ticket that must be accepted."""
+        return await self.cli("ticket", "submit", self._ticket_file(ticket))
+
+    async def try_submit(self, ticket: Mapping[str, Any]) -> int:
+        """Submit a ticket and return the command's exit code; 0 is accepted."""
+        code, _ = await self.run_cli("ticket", "submit", self._ticket_file(ticket))
+        return code
+
+    def _ticket_file(self, ticket: Mapping[str, Any]) -> str:
         name = f"ticket-{ticket['ticket']}.json"
-        path = self.fleet.write(name, json.dumps(ticket, indent=2))
-        return await self.cli("ticket", "submit", str(path), check=check)
+        return str(self.fleet.write(name, json.dumps(ticket, indent=2)))
 
     async def in_force_everywhere(self, version: int, timeout_s: float) -> bool:
         """Wait until every live process of the system logged this version."""
--- a/src/mustardfront_standins/torture/_faults.py
+++ b/src/mustardfront_standins/torture/_faults.py
@@ -6,6 +6,7 @@
 import signal
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from typing import Final
 
 import trio
 
@@ -14,6 +15,8 @@
 from mustardfront_standins.system import System
 from mustardfront_standins.torture._history import History
 
+_SUBMIT_TRIES: Final = 6
+
 
 class Faults:
     """Makes one random fault after another and counts them by kind."""
@@ -147,16 +150,20 @@
     async def _drain(self) -> None:
         plan = self._plan()
         for state in ("draining", "active"):
-            ticket = drain_ticket(self._ticket + 1, plan)
-            ticket["set"]["hosts"][plan.host]["state"] = state
-            for _ in range(5):
-                shown = await self._system.submit(ticket, check=False)
-                if "accepted" in shown.lower() and "not accepted" not in shown.lower():
-                    self._ticket += 1
-                    self._history.accepted.append(self._ticket)
-                    break
-                await trio.sleep(1.0)
+            await self._submit(plan, state)
             await trio.sleep(self._rng.uniform(0.2, 1.0))
 
+    async def _submit(self, plan: UpstreamPlan, state: str) -> None:
+        """Submit a ticket; repeat it while its fate is unknown or the number taken."""
+        for _ in range(_SUBMIT_TRIES):
+            number = self._ticket + 1
+            ticket = drain_ticket(number, plan)
+            ticket["set"]["hosts"][plan.host]["state"] = state
+            if await self._system.try_submit(ticket) == 0:
+                self._ticket = max(self._ticket, number)
+                self._history.accepted.append(number)
+                return
+            await trio.sleep(1.0)
+
     def _note_versions(self, process: FleetProcess) -> None:
         self._history.versions[f"{process.name}/{process.pid}"] = process.versions()
