--- a/src/mustardfront/programs/sidecar/_program.py
+++ b/src/mustardfront/programs/sidecar/_program.py
@@ -69,7 +69,7 @@
             nursery.start_soon(health.run)
             nursery.start_soon(report_loads, side)
             nursery.start_soon(process.store.follow, partial(apply_config, side))
-            nursery.start_soon(_follow_hosts, process, side)
+            nursery.start_soon(follow_hosts, process, side)
             nursery.start_soon(serve_rank, process, self._url)
             nursery.start_soon(keep_owner, side, process.kv, process.identity.instance)
             task_status.started({})
@@ -101,7 +101,7 @@
     side.changed()
 
 
-async def _follow_hosts(process: Process, side: Sidecar) -> None:
+async def follow_hosts(process: Process, side: Sidecar) -> None:
     """Drain while the host list says that this host is leaving."""
     while True:
         leaving = process.hosts.state_of(process.identity.host) == "leaving"
--- a/tests/test_sidecar_attempts.py
+++ b/tests/test_sidecar_attempts.py
@@ -13,13 +13,14 @@
 
 from mustardfront.codes import Code
 from mustardfront.coordination.config import ConfigStore
+from mustardfront.coordination.hosts import HostEntry, HostList
 from mustardfront.coordination.peers import PeerHub
 from mustardfront.programs.sidecar._attempt import Attempt
 from mustardfront.programs.sidecar._events import EVENT_MAX_BYTES, EventParser
 from mustardfront.programs.sidecar._health import Health
 from mustardfront.programs.sidecar._pauses import PauseMeter
 from mustardfront.programs.sidecar._peers import REPORT_SPACING_S, report_loads
-from mustardfront.programs.sidecar._program import apply_config
+from mustardfront.programs.sidecar._program import apply_config, follow_hosts
 from mustardfront.programs.sidecar._relay import run_attempt
 from mustardfront.programs.sidecar._side import Sidecar
 from mustardfront.protocol import Cancelled, Chunk, End, Refused, Started
@@ -149,6 +150,25 @@
         assert side.draining is draining
 
 
+async def test_drain_follows_the_host_list(autojump_clock):
+    side = await make_side(lambda call: FakeAnswer([DONE]))
+    hosts = HostList("http://127.0.0.1:1")
+    identity = SimpleNamespace(host="h1")
+    async with trio.open_nursery() as nursery:
+        process = SimpleNamespace(hosts=hosts, identity=identity)
+        nursery.start_soon(follow_hosts, process, side)
+        for state, draining in (("live", False), ("leaving", True), ("live", False)):
+            entry = HostEntry("h1", "a", "sidecar", "127.0.0.1:1", state)
+            hosts.update((entry, HostEntry("h2", "a", "sidecar", "", "leaving")))
+            await trio.testing.wait_all_tasks_blocked()
+            assert side.draining is draining
+        # A host that the list has lost is not told to leave.
+        hosts.update(())
+        await trio.testing.wait_all_tasks_blocked()
+        assert not side.draining
+        nursery.cancel_scope.cancel()
+
+
 @pytest.mark.parametrize("idempotent", [True, False])
 @pytest.mark.parametrize(
     ("answer", "code", "not_run"),
