--- /dev/null
+++ b/tests/sidecar_fakes.py
@@ -0,0 +1,102 @@
+"""A sidecar with a scripted upstream and a connection that keeps what is sent."""
+
+import json
+from contextlib import asynccontextmanager
+
+import trio
+import trio.testing
+
+from mustardfront.codes import Code
+from mustardfront.coordination.config import ConfigStore
+from mustardfront.coordination.peers import PeerHub
+from mustardfront.programs.sidecar._attempt import Attempt
+from mustardfront.programs.sidecar._program import apply_config
+from mustardfront.programs.sidecar._relay import run_attempt
+from mustardfront.programs.sidecar._side import Sidecar
+from mustardfront.results import Err, Ok
+from running import make_config
+
+LOST = Err(Code.STREAM_CUT, "connection lost")
+REFUSED = Err(Code.UPSTREAM_DOWN, "connection refused")
+
+
+def token(index: int) -> bytes:
+    return f"data: {json.dumps({'index': index})}\n\n".encode()
+
+
+DONE = b"data: [DONE]\n\n"
+
+
+class FakeAnswer:
+    """Gives scripted pieces; a number is a pause in s, an Err the end."""
+
+    def __init__(self, parts, status=200, event_stream=True, length_known=True):
+        self.parts = list(parts)
+        self.status, self.headers = status, ()
+        self.event_stream, self.length_known = event_stream, length_known
+
+    async def receive(self):
+        if self.parts and isinstance(self.parts[0], float):
+            await trio.sleep(self.parts.pop(0))
+        await trio.lowlevel.checkpoint()
+        part = self.parts.pop(0) if self.parts else b""
+        return part if isinstance(part, Err) else Ok(part)
+
+
+class FakeClient:
+    """An upstream that answers each call with what ``script`` makes of it."""
+
+    def __init__(self, script) -> None:
+        self.script = script
+        self.calls = []
+        self.running = self.most_running = 0
+
+    @asynccontextmanager
+    async def exchange(self, call, before_write=None, *, reuse=True):
+        answer = self.script(call)
+        if answer is REFUSED:
+            yield answer
+            return
+        if before_write:
+            await before_write()
+        self.calls.append(call)
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            yield answer if isinstance(answer, Err) else Ok(answer)
+        finally:
+            self.running -= 1
+
+
+class FakeConn:
+    def __init__(self) -> None:
+        self.sent = []
+
+    async def send(self, message):
+        await trio.lowlevel.checkpoint()
+        self.sent.append(message)
+
+    def send_nowait(self, message) -> bool:
+        self.sent.append(message)
+        return True
+
+    def of(self, kind):
+        return [message for message in self.sent if isinstance(message, kind)]
+
+
+async def make_side(script, cfg=None) -> Sidecar:
+    side = Sidecar("w1", FakeClient(script), ConfigStore(), PeerHub())
+    side.healthy, side.instance = True, "i1"
+    side.store.offer(cfg or make_config(), "test")
+    await apply_config(side, side.store.current)
+    return side
+
+
+def make_attempt(req) -> Attempt:
+    return Attempt(req, FakeConn(), trio.current_time() + req.deadline_ms / 1e3)
+
+
+async def run(side: Sidecar, req) -> FakeConn:
+    attempt = make_attempt(req)
+    await run_attempt(side, attempt)
+    return attempt.conn
