--- a/src/mustardfront/coordination/expertmap/_run.py
+++ b/src/mustardfront/coordination/expertmap/_run.py
@@ -20,18 +20,21 @@
     States,
     peek,
     read_map,
+    read_states,
+    settle_open,
     switch,
     tend,
 )
 from mustardfront.coordination.expertmap._lease import (
-    CAMPAIGN_INTERVAL_S,
     CANDIDATES,
     LeaseStore,
+    Term,
     campaign,
     hold,
 )
 from mustardfront.coordination.expertmap._links import Connect, GroupLinks, OrderDesk
 from mustardfront.coordination.expertmap._rank import RankCall
+from mustardfront.coordination.expertmap._types import parse_state
 from mustardfront.protocol import Identity, connect_peer
 from mustardfront.results import Err, Ok, Result
 from mustardfront.state import Config, ExpertMap, Group, count_moves, first_map
@@ -39,6 +42,11 @@
 ROUND_INTERVAL_S: Final = 1.0
 # All ranks' states are read this often even when the front's steps go on.
 FULL_ROUND_INTERVAL_S: Final = 60.0
+# Tries of a candidate to reach all ranks while the key-value service is down.
+ASSIST_TRIES: Final = 5
+ASSIST_INTERVAL_S: Final = 0.5
+# How often a sidecar looks whether it has become a candidate.
+CONFIG_INTERVAL_S: Final = 1.0
 RANK_CALL_TIMEOUT_S: Final = 2.0
 # The step of a switch leaves this many times the transfer's expected time, and at
 # least this long, so that ranks have voted before they reach it.
@@ -104,23 +112,85 @@
     while True:
         found = group_of(config(), upstream)
         if found is None or upstream not in found[1].ranks[:CANDIDATES]:
-            await trio.sleep(CAMPAIGN_INTERVAL_S)
+            await trio.sleep(CONFIG_INTERVAL_S)
             continue
-        name = found[0]
-        term = await campaign(kv, name, identity.instance)
+        name, group = found
+        stand_in = _StandIn(upstream, config, desk, identity, key, connect)
+        assist = partial(stand_in.assist, name, group)
+        term = await campaign(kv, name, identity.instance, assist)
         events.log(
             events.Event.COORDINATOR_CHANGED, group=name, held=True, fence=term.fence
         )
         links = GroupLinks(name, upstream, desk, identity, key)
-        lead = partial(_lead, upstream, config, links, term.fence, connect)
+        lead = partial(_lead, upstream, config, links, term, connect)
         await hold(kv, term, lead)
 
 
+class _StandIn:
+    """What a candidate does for a stopped group while nobody can win a term."""
+
+    def __init__(
+        self,
+        upstream: str,
+        config: Callable[[], Config],
+        desk: OrderDesk,
+        identity: Identity,
+        key: bytes,
+        connect: Connect,
+    ) -> None:
+        self._upstream = upstream
+        self._config = config
+        self._desk = desk
+        self._identity = identity
+        self._key = key
+        self._connect = connect
+        self._step = -1
+
+    async def assist(self, name: str, group: Group) -> None:
+        """Settle open votes when the local rank stands still since the last call.
+
+        The outcome depends on the votes alone, so this needs no lease: it uses the
+        newest fence that the ranks know. A coordinator with a newer one goes first.
+        """
+        links = GroupLinks(name, self._upstream, self._desk, self._identity, self._key)
+        ask = partial(links.ask, 0)
+        answer = (await ask({self._upstream: ("state", {})}))[self._upstream]
+        local = answer if isinstance(answer, Err) else parse_state(answer.value)
+        if isinstance(local, Err):
+            return
+        before, self._step = self._step, local.value.step
+        if before != self._step:
+            return
+        co = Coordinator(name, group.ranks, 0, ask, trio.sleep, _no_map)
+        addresses = _addresses(self._config(), group)
+        async with links.open(addresses, self._connect):
+            for _ in range(ASSIST_TRIES):
+                await trio.sleep(ASSIST_INTERVAL_S)
+                states = await read_states(co)
+                if isinstance(states, Ok):
+                    co.fence = max(state.fence for state in states.value.values())
+                    co.ask = partial(links.ask, co.fence)
+                    await settle_open(co, states.value)
+                    return
+
+
+def _no_map() -> Err:
+    return Err(Code.MAP_INVALID, "no group is formed without a term")
+
+
+def _addresses(cfg: Config, group: Group) -> dict[str, str]:
+    return {
+        rank: cfg.upstreams[rank].address
+        for rank in group.ranks
+        if rank in cfg.upstreams
+    }
+
+
 async def _lead(
     upstream: str,
     config: Callable[[], Config],
     links: GroupLinks,
-    fence: int,
+    term: Term,
     connect: Connect,
 ) -> None:
     """Lead until fenced off; each change of the group begins with new links."""
@@ -130,11 +200,7 @@
         if found is None:
             return
         name, group = found
-        addresses = {
-            rank: cfg.upstreams[rank].address
-            for rank in group.ranks
-            if rank in cfg.upstreams
-        }
+        addresses = _addresses(cfg, group)
 
         def same_group(expected: tuple[str, Group] = found) -> bool:
             return group_of(config(), upstream) == expected
@@ -142,27 +208,32 @@
         co = Coordinator(
             name,
             group.ranks,
-            fence,
-            partial(links.ask, fence),
+            term.fence,
+            partial(links.ask, term.fence),
             trio.sleep,
             lambda group=group: first_map(  # type: ignore[misc]
                 group.layers, group.experts, len(group.ranks), group.slots_per_rank
             ),
         )
         async with links.open(addresses, connect):
-            if await _rounds(co, group, same_group):
+            if await _rounds(co, group, same_group, term.is_certain):
                 return
 
 
 async def _rounds(
-    co: Coordinator, group: Group, same_group: Callable[[], bool]
+    co: Coordinator,
+    group: Group,
+    same_group: Callable[[], bool],
+    may_switch: Callable[[], bool],
 ) -> bool:
     """Run rounds; True when another coordinator took over, False on a new group."""
     balance = Balance(group)
     quiet: States | None = None
     read_at = trio.current_time()
     while same_group():
-        done, quiet, read_at = await run_round(co, balance, quiet, read_at)
+        # No switch begins that a successor could not finish while the service is down.
+        chosen = balance if may_switch() else None
+        done, quiet, read_at = await run_round(co, chosen, quiet, read_at)
         if isinstance(done, Err) and done.code is Code.FENCED:
             events.log(
                 events.Event.COORDINATOR_CHANGED,
@@ -177,7 +248,7 @@
 
 
 async def run_round(
-    co: Coordinator, balance: Balance, quiet: States | None, read_at: float
+    co: Coordinator, balance: Balance | None, quiet: States | None, read_at: float
 ) -> tuple[Result[Any], States | None, float]:
     """Do one round; return its outcome, the states if quiet, and when all were read."""
     now = trio.current_time()
@@ -190,8 +261,8 @@
         if isinstance(done, Err):
             return done, None, read_at
         quiet, read_at = done.value, now
-    if quiet is None:
-        return Ok(None), None, read_at
+    if quiet is None or balance is None:
+        return Ok(None), quiet, read_at
     proposals = co.proposals
     balanced = await balance.step(co, quiet)
     return balanced, quiet if co.proposals == proposals else None, read_at
