--- a/src/mustardfront_standins/system.py
+++ b/src/mustardfront_standins/system.py
@@ -39,6 +39,8 @@
     upstream_urls: dict[str, str]
     # Place and peer address of each entry.
     entry_peers: list[tuple[str, str]]
+    # A guarantee that the programs break on purpose, for the torture run.
+    broken: str = ""
 
     def programs(self) -> list[tuple[str, FleetProcess]]:
         """Return the project's own processes that were started, by name."""
@@ -49,8 +51,8 @@
             if name.startswith(own)
         ]
 
-    async def cli(self, *args: str, check: bool = True) -> str:
-        """Run the operators' command line and return what it printed."""
+    async def run_cli(self, *args: str) -> tuple[int, str]:
+        """Run the operators' command line; return its exit code and what it printed."""
         result = await trio.run_process(
             [sys.executable, "-m", "mustardfront.programs.cli", *args],
             capture_stdout=True,
@@ -64,15 +66,27 @@
             },
         )
         text = (result.stdout + result.stderr).decode()
-        if check and result.returncode:
-            raise RuntimeError(f"{args} ended with {result.returncode}: {text}")
-        return text.rstrip()
+        return result.returncode, text.rstrip()
 
-    async def submit(self, ticket: Mapping[str, Any], check: bool = True) -> str:
-        """Submit a ticket with the command line."""
+    async def cli(self, *args: str) -> str:
+        """Run the command line; raise RuntimeError when it does not end with 0."""
+        code, text = await self.run_cli(*args)
+        if code:
+            raise RuntimeError(f"{args} ended with {code}: {text}")
+        return text
+
+    async def submit(self, ticket: Mapping[str, Any]) -> str:
+        """Submit a ticket that must be accepted."""
+        return await self.cli("ticket", "submit", self._ticket_file(ticket))
+
+    async def try_submit(self, ticket: Mapping[str, Any]) -> int:
+        """Submit a ticket and return the command's exit code; 0 is accepted."""
+        code, _ = await self.run_cli("ticket", "submit", self._ticket_file(ticket))
+        return code
+
+    def _ticket_file(self, ticket: Mapping[str, Any]) -> str:
         name = f"ticket-{ticket['ticket']}.json"
-        path = self.fleet.write(name, json.dumps(ticket, indent=2))
-        return await self.cli("ticket", "submit", str(path), check=check)
+        return str(self.fleet.write(name, json.dumps(ticket, indent=2)))
 
     async def in_force_everywhere(self, version: int, timeout_s: float) -> bool:
         """Wait until every live process of the system logged this version."""
@@ -118,7 +132,7 @@
         """Start the sidecar of an upstream."""
         return await self.fleet.start(
             f"sidecar-{plan.name}",
-            "mustardfront.programs.sidecar",
+            *self._program("sidecar"),
             *self._common(plan.host, plan.place, self.sidecar_addresses[plan.name]),
             "--upstream-name",
             plan.name,
@@ -132,7 +146,7 @@
         """Start an entry; ``number`` is its index in ``entry_urls``."""
         return await self.fleet.start(
             f"entry-{number + 1}",
-            "mustardfront.programs.entry",
+            *self._program("entry"),
             "--listen",
             self.entry_urls[number].removeprefix("http://"),
             *self._common(f"entry-host-{number + 1}", place, peer_listen),
@@ -147,12 +161,18 @@
         """Start the administration API."""
         return await self.fleet.start(
             "admin",
-            "mustardfront.programs.admin",
+            *self._program("admin"),
             "--listen",
             self.admin_url.removeprefix("http://"),
             *self._common("admin-host", place, peer_listen),
         )
 
+    def _program(self, role: str) -> tuple[str, ...]:
+        module = f"mustardfront.programs.{role}"
+        if not self.broken:
+            return (module,)
+        return ("mustardfront_standins.torture._broken", self.broken, module)
+
     def _common(self, host: str, place: str, peer_listen: str) -> tuple[str, ...]:
         return (
             "--peer-listen",
@@ -175,6 +195,7 @@
     plans: tuple[UpstreamPlan, ...],
     entries: int = 2,
     engine_args: EngineArgs = _no_args,
+    broken: str = "",
 ) -> System:
     """Start everything and wait until each process says that it is ready."""
     kv = await fleet.start_standin("kv", "kv", "--listen", "127.0.0.1:0")
@@ -191,6 +212,7 @@
         sidecar_addresses={plan.name: _address() for plan in plans},
         upstream_urls={},
         entry_peers=[],
+        broken=broken,
     )
     async with trio.open_nursery() as nursery:
         for plan in plans:
