Spread the entries over several fronts of a group

Cause: a group's first rank took all its requests. Ruled out: a connection from each entry to each rank, which is 16 times as many; several sidecars on a host, which has a slot for one. A group now names how many of its first ranks take requests, and each entry uses one of them by rendezvous hash of its host. Conclusion: one connection for an entry and a group stays.

--- a/src/mustardfront/coordination/routing/_table.py
+++ b/src/mustardfront/coordination/routing/_table.py
@@ -45,6 +45,7 @@
 
     ``clock`` returns seconds, like ``trio.current_time``. Calls about an upstream
     that the configuration does not name are ignored: it was removed meanwhile.
+    ``entry`` is the host of the entry, which decides on the ranks that it uses.
     """
 
     def __init__(
@@ -52,6 +53,7 @@
         clock: Callable[[], float],
         knobs: RoutingKnobs | None = None,
         rng: random.Random | None = None,
+        entry: str = "",
     ) -> None:
         self.clock = clock
         self.knobs = knobs or RoutingKnobs()
@@ -59,14 +61,17 @@
         self._states: dict[str, UpstreamState] = {}
         self._overviews: dict[str, Overview] = {}
         self._regions: dict[str, str] = {}
+        self._entry = entry
 
     def update_config(self, cfg: Config) -> None:
         """Take over the upstreams of a configuration; keep what is known of them."""
         states: dict[str, UpstreamState] = {}
         services: dict[str, Overview] = {}
-        ranks_of = {group.ranks[0]: group.ranks for group in cfg.groups.values()}
+        ranks_of = {
+            group.front_for(self._entry): group.ranks for group in cfg.groups.values()
+        }
         for service in cfg.services:
-            names = cfg.fronts(service)
+            names = cfg.fronts(service, self._entry)
             for name in names:
                 state = self._states.get(name) or UpstreamState(name)
                 self._configure(state, cfg, service)
--- a/src/mustardfront/programs/entry/_main.py
+++ b/src/mustardfront/programs/entry/_main.py
@@ -57,7 +57,7 @@
 
 
 def _make_front(process: Process, nursery: trio.Nursery) -> Front:
-    table = UpstreamTable(trio.current_time)
+    table = UpstreamTable(trio.current_time, entry=process.identity.host)
     quarantine = Quarantine(trio.current_time)
     links = SidecarLinks(
         nursery, process.identity, process.key, process.hub, table, random.Random()
--- a/src/mustardfront/state/_config.py
+++ b/src/mustardfront/state/_config.py
@@ -7,6 +7,8 @@
 from types import MappingProxyType
 from typing import Literal, TypeAlias, TypeVar
 
+import xxhash
+
 ServiceKind: TypeAlias = Literal["model", "plain"]
 AdminState: TypeAlias = Literal["active", "draining"]
 T = TypeVar("T")
@@ -77,8 +79,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Group:
-    """An expert group: its ranks' upstreams in rank order, the first is its front.
+    """An expert group: its ranks' upstreams in rank order.
 
+    The first ``fronts`` ranks take requests; each entry uses one of them.
     ``store_rate`` is what the weight store gives the whole group, in bytes a second.
     """
 
@@ -91,6 +94,19 @@
     store_rate: float = 1e9
     skew_weight: float = 1.0
     cost_weight: float = 1.0
+    fronts: int = 1
+
+    def front_for(self, entry: str) -> str:
+        """Return the rank that takes an entry's requests.
+
+        Rendezvous hashing by the entry's host spreads the entries over the fronts,
+        so neither side needs a connection to each of the other.
+        """
+
+        def score(rank: str) -> int:
+            return xxhash.xxh3_64_intdigest(f"{entry}\0{rank}".encode())
+
+        return max(self.ranks[: self.fronts], key=score)
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,17 +146,22 @@
         host = self.hosts.get(entry.host)
         return host is None or host.state == "draining"
 
-    def fronts(self, service: str) -> tuple[str, ...]:
-        """Return the upstreams that take a service's requests, in name order.
+    def fronts(self, service: str, entry: str = "") -> tuple[str, ...]:
+        """Return the upstreams that take an entry's requests, in name order.
 
-        The first rank of an expert group answers for the whole group.
+        One rank of an expert group answers for the whole group.
         """
-        behind = {rank for group in self.groups.values() for rank in group.ranks[1:]}
+        behind = {
+            rank
+            for group in self.groups.values()
+            for rank in group.ranks
+            if rank != group.front_for(entry)
+        }
         return tuple(
             sorted(
                 name
-                for name, entry in self.upstreams.items()
-                if entry.service == service and name not in behind
+                for name, upstream in self.upstreams.items()
+                if upstream.service == service and name not in behind
             )
         )
 
--- a/src/mustardfront/state/_ticket.py
+++ b/src/mustardfront/state/_ticket.py
@@ -77,6 +77,8 @@
     for name, group in cfg.groups.items():
         if group.service not in cfg.services:
             return _invalid(f"group {name}: no service {group.service}")
+        if not 1 <= group.fronts <= len(group.ranks):
+            return _invalid(f"group {name}: {group.fronts} fronts of its ranks")
         for rank in group.ranks:
             if rank not in cfg.upstreams:
                 return _invalid(f"group {name}: no upstream {rank}")
--- a/src/mustardfront_standins/torture/_faults.py
+++ b/src/mustardfront_standins/torture/_faults.py
@@ -35,6 +35,7 @@
         self._upstream_args = upstream_args
         self._ticket = 1
         self._restarting: set[int] = set()
+        self._starting: set[str] = set()
         self._kinds: dict[str, Callable[[], Awaitable[None]]] = {
             "engine killed": self._kill_upstream,
             "sidecar killed": self._kill_sidecar,
@@ -71,12 +72,15 @@
     async def _kill_upstream(self) -> None:
         plan = self._plan()
         process = self._process(f"engine-{plan.name}")
-        if process.process.poll() is not None:
+        # A second kill before it is ready would end its start.
+        if plan.name in self._starting or process.process.poll() is not None:
             return
+        self._starting.add(plan.name)
         process.kill()
         await process.process.wait()
         await trio.sleep(self._rng.uniform(0.0, 1.0))
         await self._system.start_upstream(plan, self._upstream_args(plan))
+        self._starting.discard(plan.name)
 
     async def _kill_sidecar(self) -> None:
         plan = self._plan()
