Report a deadline that passed before the upstream saw anything as not run

Cause: at the deadline an entry said 'unknown' at once, although the sidecar refuses what waits in its queue at the same moment, and although nothing may have been sent. Ruled out: waiting for a confirmed cancel, which a frozen sidecar never gives. The entry now listens 0.25 s longer, and knows whether an attempt was sent. A shed request may also be retried elsewhere. Before: both new tests get 'unknown' by reading of the code; they were not run on the earlier version. After: both get 'not-run'. Conclusion: fewer callers are left in doubt; 'unknown' stays for the rest.

--- a/src/mustardfront/constants.py
+++ b/src/mustardfront/constants.py
@@ -34,6 +34,8 @@
 REQUEST_ID_MAX_CHARS: Final = 128
 DEADLINE_DEFAULT_MS: Final = 30_000
 DEADLINE_MAX_MS: Final = 600_000
+# An entry waits this much longer than a sidecar, to hear how the attempt ended.
+DEADLINE_GRACE_S: Final = 0.25
 PRIORITY_DEFAULT: Final = 1
 PRIORITY_MAX: Final = 9
 
--- a/src/mustardfront/programs/entry/_attempt.py
+++ b/src/mustardfront/programs/entry/_attempt.py
@@ -29,9 +29,13 @@
 
 @dataclass(slots=True)
 class Progress:
-    """What the caller already has of its stream, over all attempts."""
+    """What the caller already has of its stream, over all attempts.
+
+    ``sent`` says that an attempt went to a sidecar, so the request may have run.
+    """
 
     payloads: list[bytes] = field(default_factory=list)
+    sent: bool = False
 
     @property
     def next_index(self) -> int:
@@ -81,6 +85,7 @@
     ok: bool | None = None
     try:
         with calls.open() as call:
+            progress.sent = True
             sent = await calls.start(call, message)
             if isinstance(sent, Err):
                 ok = False
--- a/src/mustardfront/programs/entry/_forward.py
+++ b/src/mustardfront/programs/entry/_forward.py
@@ -10,7 +10,7 @@
 
 from mustardfront import events
 from mustardfront.codes import Code, Outcome
-from mustardfront.constants import ATTEMPTS_MAX
+from mustardfront.constants import ATTEMPTS_MAX, DEADLINE_GRACE_S
 from mustardfront.coordination.idempotency import owner_order, partition_of
 from mustardfront.coordination.limits import RetryBudget
 from mustardfront.coordination.quarantine import Quarantine
@@ -47,7 +47,13 @@
 )
 # Refusals of a loaded upstream; another may have room, but a herd must not form.
 _PAID_RETRIES: Final = frozenset(
-    {Code.UPSTREAM_LIMIT, Code.QUEUE_FULL, Code.DEADLINE_UNREACHABLE, Code.LEASE_LOST}
+    {
+        Code.UPSTREAM_LIMIT,
+        Code.QUEUE_FULL,
+        Code.SHED,
+        Code.DEADLINE_UNREACHABLE,
+        Code.LEASE_LOST,
+    }
 )
 # Failures after which a request that may run twice is sent elsewhere.
 _FAILURES: Final = frozenset(
@@ -76,10 +82,12 @@
     """Run a request until its caller has an answer or an error; return which."""
     deadline_s = trio.current_time() + req.deadline_ms / 1000
     progress = Progress()
-    with trio.move_on_at(deadline_s):
+    # The sidecar ends the attempt at the deadline and knows whether it ran.
+    with trio.move_on_at(deadline_s + DEADLINE_GRACE_S):
         return await _attempts(fwd, req, answer, progress, deadline_s)
     text = f"no whole answer within {req.deadline_ms} ms"
-    finish = Finish(Code.DEADLINE_PASSED, Outcome.UNKNOWN, text)
+    outcome = Outcome.UNKNOWN if progress.sent else Outcome.NOT_RUN
+    finish = Finish(Code.DEADLINE_PASSED, outcome, text)
     await answer.refuse(finish)
     return finish
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -126,6 +126,7 @@
     [
         (Code.DRAINING, True),
         (Code.QUEUE_FULL, True),
+        (Code.SHED, True),
         (Code.REQUEST_HELD, False),
         (Code.DEADLINE_PASSED, False),
     ],
@@ -194,6 +195,28 @@
     assert last["outcome"] == "unknown"
 
 
+async def test_deadline_that_the_sidecar_reports_in_time_is_not_run(autojump_clock):
+    # Guards against "unknown" for a request that waited in a sidecar's queue.
+    async def refuse_at_the_deadline(conn, req):
+        await trio.sleep(req.deadline_ms / 1000)
+        await conn.send(Refused(req.stream, int(Code.DEADLINE_PASSED), True))
+
+    async with front_with({"w1": refuse_at_the_deadline}, {"w1": "writer"}) as client:
+        _, last = await client.stream(deadline_ms=2_000)
+    assert (last["code"], last["outcome"]) == (Code.DEADLINE_PASSED, "not-run")
+
+
+async def test_deadline_before_anything_was_sent_is_not_run(autojump_clock):
+    async with front_with({}, {"w1": "writer"}) as client:
+
+        async def connect_for_ever(upstream, address):
+            await trio.sleep_forever()
+
+        client.front.forwarder.links.calls = connect_for_ever
+        _, last = await client.stream(deadline_ms=2_000)
+    assert (last["code"], last["outcome"]) == (Code.DEADLINE_PASSED, "not-run")
+
+
 async def test_caller_that_stops_reading_frees_the_upstream_at_its_deadline(
     autojump_clock,
 ):
