--- a/src/mustardfront/programs/admin/_app.py
+++ b/src/mustardfront/programs/admin/_app.py
@@ -20,6 +20,7 @@
     read_ticket,
     submit_ticket,
 )
+from mustardfront.events import Event, log
 from mustardfront.programs._runtime import Process
 from mustardfront.programs.admin._operators import Operators
 from mustardfront.programs.admin._status import read_status
@@ -172,7 +173,16 @@
     ticket = parse_ticket_json(body)
     if isinstance(ticket, Ok) and ticket.value.author != operator:
         text = f"the author is {ticket.value.author!r}, the operator {operator!r}"
-        return Err(Code.TICKET_AUTHOR_REFUSED, text)
+        code = Code.TICKET_AUTHOR_REFUSED
+        number, author = ticket.value.number, ticket.value.author
+        log(
+            Event.TICKET_REFUSED,
+            ticket=number,
+            author=author,
+            code=int(code),
+            text=text,
+        )
+        return Err(code, text)
     return ticket
 
 
