Give operators an address of their own at an entry

Cause: any caller could read /explain of any request and /metrics, which name all teams. Before: /explain on the callers' address.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,10 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 SEED ?= 1
+# An empty environment has no search path, and make gives its commands none then.
+ifeq ($(PATH),)
+export PATH := /usr/local/sbin:/usr/local/bin:/usr/sbin:/usr/bin:/sbin:/bin
+endif
 export PYTHONPATH := src:.
 export PYTHONDONTWRITEBYTECODE := 1
 
--- a/src/mustardfront/programs/cli/_main.py
+++ b/src/mustardfront/programs/cli/_main.py
@@ -72,7 +72,7 @@
     required=True,
     envvar=env_name("--entry"),
     show_envvar=True,
-    help="An entry's HTTP address; all given are asked.",
+    help="An entry's operators' address; all given are asked.",
 )
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 def explain(request: str, entries: tuple[str, ...], as_json: bool) -> None:
--- a/src/mustardfront/programs/entry/_app.py
+++ b/src/mustardfront/programs/entry/_app.py
@@ -27,7 +27,7 @@
 AsgiReceive = Callable[[], Awaitable[Any]]
 AsgiApp = Callable[[dict[str, Any], AsgiReceive, AsgiSend], Awaitable[None]]
 
-_OWN_PATHS: Final = ("/healthz", "/readyz", "/metrics", "/explain/")
+_HEALTH_PATHS: Final = ("/healthz", "/readyz")
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,20 +44,35 @@
 
 
 def make_app(front: Front) -> AsgiApp:
-    """Return the ASGI application."""
+    """Return the callers' ASGI application."""
 
     async def app(scope: dict[str, Any], receive: AsgiReceive, send: AsgiSend) -> None:
         if scope["type"] == "lifespan":
             await _lifespan(receive, send)
         elif scope["type"] == "http":
-            if scope["path"].startswith(_OWN_PATHS):
-                await _own(front, scope["path"], send)
+            if scope["path"] in _HEALTH_PATHS:
+                await _health(front, scope["path"], send)
             else:
                 await _serve(front, scope, receive, send)
 
     return app
 
 
+def make_operators_app(front: Front) -> AsgiApp:
+    """Return the operators' ASGI application: health, metrics and decisions.
+
+    It listens at an address of its own, as decisions name all teams.
+    """
+
+    async def app(scope: dict[str, Any], receive: AsgiReceive, send: AsgiSend) -> None:
+        if scope["type"] == "lifespan":
+            await _lifespan(receive, send)
+        elif scope["type"] == "http":
+            await _operators(front, scope["path"], send)
+
+    return app
+
+
 async def _lifespan(receive: AsgiReceive, send: AsgiSend) -> None:
     while True:
         message = await receive()
@@ -66,18 +81,25 @@
             return
 
 
-async def _own(front: Front, path: str, send: AsgiSend) -> None:
+async def _health(front: Front, path: str, send: AsgiSend) -> None:
     if path == "/healthz":
         await _plain(send, 200, b"ok\n")
-    elif path == "/readyz":
-        ready = front.is_ready() and not front.is_draining()
-        await _plain(send, 200 if ready else 503, b"ready\n" if ready else b"no\n")
+        return
+    ready = front.is_ready() and not front.is_draining()
+    await _plain(send, 200 if ready else 503, b"ready\n" if ready else b"no\n")
+
+
+async def _operators(front: Front, path: str, send: AsgiSend) -> None:
+    if path in _HEALTH_PATHS:
+        await _health(front, path, send)
     elif path == "/metrics":
         await _plain(send, 200, front.metrics.render().encode())
-    else:
+    elif path.startswith("/explain/"):
         found = front.decisions.of(path.removeprefix("/explain/"))
         body = msgspec.json.encode(found, enc_hook=str)
         await _plain(send, 200 if found else 404, body, b"application/json")
+    else:
+        await _plain(send, 404, b"no such page\n")
 
 
 async def _plain(
--- a/src/mustardfront/programs/entry/_main.py
+++ b/src/mustardfront/programs/entry/_main.py
@@ -14,7 +14,7 @@
 from mustardfront.coordination.quarantine import Quarantine
 from mustardfront.coordination.routing import UpstreamTable
 from mustardfront.programs._runtime import Process, Settings, run_process, serve_http
-from mustardfront.programs.entry._app import Front, make_app
+from mustardfront.programs.entry._app import Front, make_app, make_operators_app
 from mustardfront.programs.entry._control import add_control, follow_config
 from mustardfront.programs.entry._explain import Decisions
 from mustardfront.programs.entry._forward import Forwarder
@@ -27,9 +27,11 @@
 
 @click.command()
 @setting("--listen", ADDRESS, "Address of the callers' HTTP front.")
+@setting("--ops-listen", ADDRESS, "Address for operators: metrics and decisions.")
 @common_settings
 def main(
     listen: tuple[str, int],
+    ops_listen: tuple[str, int],
     peer_listen: tuple[str, int],
     host: str,
     place: str,
@@ -49,7 +51,9 @@
             front = _make_front(process, nursery)
             async with trio.open_nursery() as http:
                 address = await http.start(serve_http, make_app(front), listen, process)
-                task_status.started({"listen": address})
+                ops_app = make_operators_app(front)
+                ops = await http.start(serve_http, ops_app, ops_listen, process)
+                task_status.started({"listen": address, "ops": ops})
             # The links end only after the last answer has been sent.
             nursery.cancel_scope.cancel()
 
--- a/src/mustardfront_standins/system.py
+++ b/src/mustardfront_standins/system.py
@@ -41,6 +41,8 @@
     token_file: str
     admin_url: str
     entry_urls: list[str]
+    # Operators' addresses of the entries.
+    ops_urls: list[str]
     sidecar_addresses: Mapping[str, str]
     upstream_urls: dict[str, str]
     # Place and peer address of each entry.
@@ -69,7 +71,7 @@
                 **os.environ,
                 "MUSTARDFRONT_ADMIN": self.admin_url,
                 "MUSTARDFRONT_TOKEN_FILE": self.token_file,
-                "MUSTARDFRONT_ENTRY": self.entry_urls[0],
+                "MUSTARDFRONT_ENTRY": self.ops_urls[0],
             },
         )
         text = (result.stdout + result.stderr).decode()
@@ -156,6 +158,8 @@
             *self._program("entry"),
             "--listen",
             self.entry_urls[number].removeprefix("http://"),
+            "--ops-listen",
+            self.ops_urls[number].removeprefix("http://"),
             *self._common(f"entry-host-{number + 1}", place, peer_listen),
         )
 
@@ -221,6 +225,7 @@
         token_file=token_file,
         admin_url=f"http://{_address()}",
         entry_urls=[f"http://{_address()}" for _ in range(entries)],
+        ops_urls=[f"http://{_address()}" for _ in range(entries)],
         sidecar_addresses={plan.name: _address() for plan in plans},
         upstream_urls={},
         entry_peers=[],
