--- a/src/mustardfront/programs/_runtime.py
+++ b/src/mustardfront/programs/_runtime.py
@@ -261,25 +261,29 @@
     app: Any,
     listen: tuple[str, int],
     process: Process,
+    tls_file: str | None = None,
+    flag: str = "--listen",
     *,
     task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve an ASGI application until ``stopping``, then finish what is in flight.
 
-    ``app`` gets ``http`` scopes only. Reports the real address ``"IP:PORT"``.
+    ``app`` gets ``http`` scopes only. With ``tls_file`` it serves HTTPS. ``flag`` is
+    named when the address is taken. Reports the real address ``"IP:PORT"``.
     """
     import hypercorn.trio
     from hypercorn.config import Config
 
     bound = _bind(listen)
     if isinstance(bound, Err):
-        process.refuse_setting(bound.code, f"--listen {bound.text}")
+        process.refuse_setting(bound.code, f"{flag} {bound.text}")
         await trio.sleep_forever()
         return
     config = Config()
     # hypercorn takes over the socket.
     config.bind = [f"fd://{bound.value.detach()}"]
     config.errorlog = None
+    config.certfile = config.keyfile = tls_file
     config.graceful_timeout = DRAIN_TIMEOUT_S
 
     async def answer(scope: Any, receive: Any, send: Any) -> None:
@@ -302,7 +306,7 @@
             )
 
         binds = await nursery.start(run)
-        task_status.started(binds[0].removeprefix("http://"))
+        task_status.started(binds[0].partition("://")[2])
 
 
 def _bind(address: tuple[str, int]) -> Result[socket.socket]:
--- a/src/mustardfront/programs/admin/_main.py
+++ b/src/mustardfront/programs/admin/_main.py
@@ -11,15 +11,17 @@
 from mustardfront.programs._runtime import Process, Settings, run_process, serve_http
 from mustardfront.programs.admin._app import make_app
 from mustardfront.programs.admin._operators import TOKEN_FILE, Operators
-from mustardfront.settings import ADDRESS, common_settings, setting
+from mustardfront.settings import ADDRESS, common_settings, setting, tls_setting
 
 
 @click.command()
 @setting("--listen", ADDRESS, "Address of the HTTP API.")
 @setting("--token-file", TOKEN_FILE, "File with the operators' token digests.")
+@tls_setting
 @common_settings
 def main(
     listen: tuple[str, int],
+    tls_file: str | None,
     token_file: Operators,
     peer_listen: tuple[str, int],
     host: str,
@@ -38,7 +40,9 @@
             nursery.start_soon(token_file.poll)
             async with trio.open_nursery() as serving:
                 app = make_app(process, token_file)
-                address = await serving.start(serve_http, app, listen, process)
+                address = await serving.start(
+                    serve_http, app, listen, process, tls_file
+                )
                 task_status.started({"listen": address})
             nursery.cancel_scope.cancel()
 
--- a/src/mustardfront/programs/cli/_client.py
+++ b/src/mustardfront/programs/cli/_client.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+import ssl
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -59,6 +60,7 @@
 
     urls: Sequence[str]
     token: Token | None = None
+    ca_file: str | None = None
 
     def get(self, path: str) -> Result[Any]:
         """Return the JSON answer; Err(CONNECT_FAILED) when no address answers."""
@@ -75,7 +77,7 @@
         last = Err(Code.CONNECT_FAILED, "no address given")
         in_doubt = False
         for url in self.urls:
-            answer = _request(method, f"{url}{path}", body, self.token)
+            answer = _request(method, f"{url}{path}", body, self.token, self.ca_file)
             if isinstance(answer, Ok):
                 return answer
             in_doubt = in_doubt or answer.code is Code.WRITE_UNKNOWN
@@ -93,21 +95,31 @@
         return Err(Code.WRITE_UNKNOWN, last.text) if in_doubt else last
 
 
+def _ssl_context(ca_file: str | None) -> ssl.SSLContext | None:
+    """Return what checks servers' certificates; None uses the system's authorities."""
+    return ssl.create_default_context(cafile=ca_file) if ca_file else None
+
+
 def _request(
-    method: str, url: str, body: bytes | None, token: Token | None
+    method: str,
+    url: str,
+    body: bytes | None,
+    token: Token | None,
+    ca_file: str | None = None,
 ) -> Result[Any]:
     headers: dict[bytes | str, bytes | str] = {"Content-Type": "application/json"}
     if token is not None:
         headers["Authorization"] = token.header()
     timeouts = dict.fromkeys(("read", "write", "pool"), TIMEOUT_S)
     try:
-        response = httpcore.request(
-            method,
-            url,
-            headers=headers,
-            content=body,
-            extensions={"timeout": timeouts | {"connect": _CONNECT_TIMEOUT_S}},
-        )
+        with httpcore.ConnectionPool(ssl_context=_ssl_context(ca_file)) as pool:
+            response = pool.request(
+                method,
+                url,
+                headers=headers,
+                content=body,
+                extensions={"timeout": timeouts | {"connect": _CONNECT_TIMEOUT_S}},
+            )
     except _NOT_SENT as exc:
         return Err(Code.CONNECT_FAILED, f"{url}: {exc}")
     except (
--- a/src/mustardfront/programs/cli/_main.py
+++ b/src/mustardfront/programs/cli/_main.py
@@ -12,7 +12,7 @@
 from mustardfront.programs.cli._plan import plan
 from mustardfront.programs.cli._tickets import drain, ticket_group
 from mustardfront.results import Ok
-from mustardfront.settings import URL, env_name
+from mustardfront.settings import CA_FILE, HTTPS_URL, env_name
 
 _EXIT_CODES = """
 Exit codes: 0 done, 1 refused, 2 wrong usage, 3 unreachable, 4 outcome unknown.
@@ -23,7 +23,7 @@
 @click.option(
     "--admin",
     "admins",
-    type=URL,
+    type=HTTPS_URL,
     multiple=True,
     envvar=env_name("--admin"),
     show_envvar=True,
@@ -36,10 +36,22 @@
     show_envvar=True,
     help="File with your operator:token for the administration API.",
 )
+@click.option(
+    "--ca-file",
+    type=CA_FILE,
+    envvar=env_name("--ca-file"),
+    show_envvar=True,
+    help="Certificates that https addresses are checked with; default: the system's.",
+)
 @click.pass_context
-def main(ctx: click.Context, admins: tuple[str, ...], token_file: Token | None) -> None:
+def main(
+    ctx: click.Context,
+    admins: tuple[str, ...],
+    token_file: Token | None,
+    ca_file: str | None,
+) -> None:
     """Operate mustardfront: change tickets, status and decisions."""
-    ctx.obj = Api(admins, token_file)
+    ctx.obj = Api(admins, token_file, ca_file)
 
 
 @main.command()
@@ -67,7 +79,7 @@
 @click.option(
     "--entry",
     "entries",
-    type=URL,
+    type=HTTPS_URL,
     multiple=True,
     required=True,
     envvar=env_name("--entry"),
@@ -75,13 +87,16 @@
     help="An entry's operators' address; all given are asked.",
 )
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
-def explain(request: str, entries: tuple[str, ...], as_json: bool) -> None:
+@click.pass_obj
+def explain(api: Api, request: str, entries: tuple[str, ...], as_json: bool) -> None:
     """Show the decisions that entries made for a request id."""
     from urllib.parse import quote
 
     last = None
     for entry in entries:
-        answer = Api([entry]).get(f"/explain/{quote(request, safe='')}")
+        answer = Api([entry], ca_file=api.ca_file).get(
+            f"/explain/{quote(request, safe='')}"
+        )
         if isinstance(answer, Ok):
             show(answer.value, _explanation(answer.value), as_json=as_json)
             return
--- a/src/mustardfront/programs/entry/_main.py
+++ b/src/mustardfront/programs/entry/_main.py
@@ -19,7 +19,7 @@
 from mustardfront.programs.entry._explain import Decisions
 from mustardfront.programs.entry._forward import Forwarder
 from mustardfront.programs.entry._links import SidecarLinks
-from mustardfront.settings import ADDRESS, common_settings, setting
+from mustardfront.settings import ADDRESS, common_settings, setting, tls_setting
 
 # Retries that a quiet service may always spend in the budget's window.
 RETRY_MINIMUM = 3
@@ -28,9 +28,11 @@
 @click.command()
 @setting("--listen", ADDRESS, "Address of the callers' HTTP front.")
 @setting("--ops-listen", ADDRESS, "Address for operators: metrics and decisions.")
+@tls_setting
 @common_settings
 def main(
     listen: tuple[str, int],
+    tls_file: str | None,
     ops_listen: tuple[str, int],
     peer_listen: tuple[str, int],
     host: str,
@@ -50,9 +52,13 @@
         async with trio.open_nursery() as nursery:
             front = _make_front(process, nursery)
             async with trio.open_nursery() as http:
-                address = await http.start(serve_http, make_app(front), listen, process)
+                address = await http.start(
+                    serve_http, make_app(front), listen, process, tls_file
+                )
                 ops_app = make_operators_app(front)
-                ops = await http.start(serve_http, ops_app, ops_listen, process)
+                ops = await http.start(
+                    serve_http, ops_app, ops_listen, process, tls_file, "--ops-listen"
+                )
                 task_status.started({"listen": address, "ops": ops})
             # The links end only after the last answer has been sent.
             nursery.cancel_scope.cancel()
--- a/src/mustardfront/settings.py
+++ b/src/mustardfront/settings.py
@@ -78,6 +78,28 @@
     return value.rstrip("/")
 
 
+def _parse_any_url(value: str) -> str:
+    if value.startswith("https://"):
+        parse_address(value.removeprefix("https://").rstrip("/"))
+        return value.rstrip("/")
+    return _parse_url(value)
+
+
+def _parse_tls_file(value: str) -> str:
+    import ssl
+
+    # A wrong file is an error now and not at the first connection.
+    ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER).load_cert_chain(value)
+    return value
+
+
+def _parse_ca_file(value: str) -> str:
+    import ssl
+
+    ssl.create_default_context(cafile=value)
+    return value
+
+
 def _parse_name(value: str) -> str:
     if not value or not all(char.isalnum() or char in "-_." for char in value):
         raise ValueError("not a name")
@@ -93,6 +115,11 @@
 
 ADDRESS = _Checked("address", parse_address, "IP:PORT, port 0 to 65535")
 URL = _Checked("url", _parse_url, "http://IP:PORT")
+HTTPS_URL = _Checked("url", _parse_any_url, "http://IP:PORT or https://IP:PORT")
+TLS_FILE = _Checked(
+    "file", _parse_tls_file, "a readable PEM file with a certificate and its key"
+)
+CA_FILE = _Checked("file", _parse_ca_file, "a readable PEM file with certificates")
 NAME = _Checked("name", _parse_name, "letters, digits, '-', '_' and '.'")
 KEY_FILE = _Checked(
     "file", _parse_key_file, f"a readable file of at least {KEY_MIN_BYTES} bytes"
@@ -146,6 +173,17 @@
     )
 
 
+def tls_setting(function: F) -> F:
+    """Add the optional setting that makes a program serve HTTPS."""
+    return click.option(
+        "--tls-file",
+        type=TLS_FILE,
+        envvar=env_name("--tls-file"),
+        show_envvar=True,
+        help="PEM file with certificate and key; without it HTTP is served plain.",
+    )(function)
+
+
 def common_settings(function: F) -> F:
     """Add the settings that every long-running program takes."""
     for option in reversed(
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -26,7 +26,7 @@
         self.answers = {call: list(given) for call, given in answers.items()}
         self.posted: list[dict] = []
 
-    def request(self, method: str, url: str, body: bytes | None, token):
+    def request(self, method: str, url: str, body: bytes | None, token, ca_file):
         path = url.split("/", 3)[3]
         if body is not None:
             self.posted.append(json.loads(body))
