Kill the administration API in the torture run too

Cause: it was the only kind of process that the run never killed. Ruled out: nothing else had to change. Conclusion: a ticket's fate stays known through the read-back.

--- a/src/mustardfront_standins/system.py
+++ b/src/mustardfront_standins/system.py
@@ -47,6 +47,8 @@
     upstream_urls: dict[str, str]
     # Place and peer address of each entry.
     entry_peers: list[tuple[str, str]]
+    # Place and peer address of the administration API.
+    admin_peer: tuple[str, str] = ("", "")
     # A guarantee that the programs break on purpose, for the torture run.
     broken: str = ""
 
@@ -168,8 +170,9 @@
         place, peer_listen = self.entry_peers[number]
         return await self.start_entry(number, place, peer_listen)
 
-    async def start_admin(self, place: str, peer_listen: str) -> FleetProcess:
-        """Start the administration API."""
+    async def start_admin(self) -> FleetProcess:
+        """Start the administration API, at its old addresses when it ran before."""
+        place, peer_listen = self.admin_peer
         return await self.fleet.start(
             "admin",
             *self._program("admin"),
@@ -246,7 +249,8 @@
         await system.start_entry(number, place, address)
     address = _address()
     await system.announce("admin-host", places[0], "admin", address)
-    await system.start_admin(places[0], address)
+    system.admin_peer = (places[0], address)
+    await system.start_admin()
     for _, proc in system.programs():
         await fleet.until(proc, lambda proc=proc: _is_ready(proc))  # type: ignore[misc]
     return system
--- a/src/mustardfront_standins/torture/_faults.py
+++ b/src/mustardfront_standins/torture/_faults.py
@@ -42,6 +42,7 @@
             "sidecar frozen": self._freeze_sidecar,
             "upstream frozen": self._freeze_upstream,
             "sidecar shut down": self._shut_down_sidecar,
+            "admin killed": self._kill_admin,
             "entry killed": self._kill_entry,
             "entry shut down": self._shut_down_entry,
             "store outage": self._store_outage,
@@ -112,6 +113,15 @@
         await trio.sleep(self._rng.uniform(0.2, 8.0))
         process.send_signal(signal.SIGCONT)
 
+    async def _kill_admin(self) -> None:
+        process = self._process("admin")
+        if process.process.poll() is not None:
+            return
+        process.kill()
+        await process.process.wait()
+        self._note_versions(process)
+        await self._system.start_admin()
+
     async def _kill_entry(self) -> None:
         await self._restart_entry(signal.SIGKILL)
 
