Test the upgrade of a fleet under load between protocol versions

Cause: no run had both protocol versions side by side. Ruled out: two builds, since the version that a process speaks is one constant; a launcher sets it before the program starts.

--- /dev/null
+++ b/src/mustardfront_standins/previous.py
@@ -0,0 +1,27 @@
+"""A program of the system that speaks the previous protocol version only.
+
+``python -m mustardfront_standins.previous PROGRAM [ARGS]`` stands for the version that
+a fleet is upgraded from.
+"""
+
+from __future__ import annotations
+
+import importlib
+import sys
+from typing import Final
+
+from mustardfront import constants
+
+LAUNCHER: Final = ("mustardfront_standins.previous",)
+
+
+def _main() -> None:
+    program, *args = sys.argv[1:]
+    # Before the first import of the protocol, which takes over the value.
+    constants.PROTOCOL_VERSION = constants.PROTOCOL_VERSION_MIN  # type: ignore[misc]
+    sys.argv = [program, *args]
+    importlib.import_module(program).main()
+
+
+if __name__ == "__main__":
+    _main()
--- a/src/mustardfront_standins/system.py
+++ b/src/mustardfront_standins/system.py
@@ -49,8 +49,8 @@
     entry_peers: list[tuple[str, str]]
     # Place and peer address of the administration API.
     admin_peer: tuple[str, str] = ("", "")
-    # A guarantee that the programs break on purpose, for the torture run.
-    broken: str = ""
+    # Module and arguments that start a program in place of the program's own module.
+    launcher: tuple[str, ...] = ()
 
     def programs(self) -> list[tuple[str, FleetProcess]]:
         """Return the project's own processes that were started, by name."""
@@ -165,6 +165,20 @@
             *self._common(f"entry-host-{number + 1}", place, peer_listen),
         )
 
+    async def restart(self, name: str) -> int:
+        """Shut a program down in order and start it again; return its exit code."""
+        code = await self.fleet.stop(self.fleet.processes[name])
+        if name == "admin":
+            proc = await self.start_admin()
+        elif name.startswith("entry-"):
+            proc = await self.restart_entry(int(name.removeprefix("entry-")) - 1)
+        else:
+            upstream = name.removeprefix("sidecar-")
+            plan = next(plan for plan in self.plans if plan.name == upstream)
+            proc = await self.start_sidecar(plan)
+        await self.fleet.until(proc, lambda: _is_ready(proc))
+        return code
+
     async def restart_entry(self, number: int) -> FleetProcess:
         """Start an ended entry again at its old addresses."""
         place, peer_listen = self.entry_peers[number]
@@ -184,10 +198,7 @@
         )
 
     def _program(self, role: str) -> tuple[str, ...]:
-        module = f"mustardfront.programs.{role}"
-        if not self.broken:
-            return (module,)
-        return ("mustardfront_standins.torture._broken", self.broken, module)
+        return (*self.launcher, f"mustardfront.programs.{role}")
 
     def _common(self, host: str, place: str, peer_listen: str) -> tuple[str, ...]:
         return (
@@ -211,7 +222,7 @@
     plans: tuple[UpstreamPlan, ...],
     entries: int = 2,
     engine_args: EngineArgs = _no_args,
-    broken: str = "",
+    launcher: tuple[str, ...] = (),
 ) -> System:
     """Start everything and wait until each process says that it is ready."""
     kv = await fleet.start_standin("kv", "kv", "--listen", "127.0.0.1:0")
@@ -232,7 +243,7 @@
         sidecar_addresses={plan.name: _address() for plan in plans},
         upstream_urls={},
         entry_peers=[],
-        broken=broken,
+        launcher=launcher,
     )
     async with trio.open_nursery() as nursery:
         for plan in plans:
--- a/src/mustardfront_standins/torture/__main__.py
+++ b/src/mustardfront_standins/torture/__main__.py
@@ -13,7 +13,7 @@
 from mustardfront_standins.deployments import NETZWERK, UpstreamPlan, first_ticket
 from mustardfront_standins.fleet import Fleet
 from mustardfront_standins.system import start_system
-from mustardfront_standins.torture._broken import KINDS
+from mustardfront_standins.torture._broken import KINDS, launcher_of
 from mustardfront_standins.torture._faults import Faults
 from mustardfront_standins.torture._history import History, read_runs, violations
 from mustardfront_standins.torture._load import run_callers
@@ -54,7 +54,9 @@
             return ("--run-log", str(fleet.folder / f"{plan.name}.runs"))
 
         with trio.fail_after(_LIMIT_S):
-            system = await start_system(fleet, plans, 2, upstream_args, broken)
+            system = await start_system(
+                fleet, plans, 2, upstream_args, launcher_of(broken)
+            )
             await system.submit(
                 first_ticket((NETZWERK,), plans, system.sidecar_addresses)
             )
--- a/src/mustardfront_standins/torture/_broken.py
+++ b/src/mustardfront_standins/torture/_broken.py
@@ -59,6 +59,11 @@
 }
 
 
+def launcher_of(kind: str) -> tuple[str, ...]:
+    """Return what starts a program with this guarantee broken; empty for none."""
+    return (__name__, kind) if kind else ()
+
+
 def _main() -> None:
     kind, program, *args = sys.argv[1:]
     KINDS[kind]()
