--- a/src/mustardfront/programs/entry/_main.py
+++ b/src/mustardfront/programs/entry/_main.py
@@ -89,7 +89,10 @@
         teams=TeamLimits(),
         metrics=process.metrics,
         decisions=decisions,
-        is_ready=process.spread.synced.is_set,
+        # Before the first ticket there is no team that could be served.
+        is_ready=lambda: (
+            process.spread.synced.is_set() and process.store.current.version > 0
+        ),
         is_draining=process.draining.is_set,
     )
     process.metrics.gauge(
