End a begun stream with an error when its resume is refused

Cause: an upstream that answered a resumed stream with a status other than 200 made the entry send a second answer's head into the stream, which breaks the HTTP server's protocol. Found by reading. Ruled out: passing the body on as tokens. It now counts as a bad answer: another upstream is tried within the budget, and the caller gets an error event otherwise. Before: the new test fails with the second head. After: it passes. Also, the torture run prints the codes of requests without an answer. Conclusion: an answer is begun at most once.

--- a/src/mustardfront/programs/entry/_attempt.py
+++ b/src/mustardfront/programs/entry/_attempt.py
@@ -152,6 +152,9 @@
             await call.acknowledge()
         if isinstance(reply, End):
             _take_load(table, upstream, reply)
+            if progress.payloads and head.status != 200:
+                text = f"status {head.status} for a stream that has begun"
+                return Failed(Code.UPSTREAM_BAD_ANSWER, Outcome.UNKNOWN, text)
             count = progress.next_index if _is_stream(req, head) else len(pieces)
             return _ended(reply, head, count, b"".join(pieces))
 
--- a/src/mustardfront_standins/torture/__main__.py
+++ b/src/mustardfront_standins/torture/__main__.py
@@ -9,6 +9,7 @@
 import click
 import trio
 
+from mustardfront.codes import Code
 from mustardfront_standins.caller import Caller
 from mustardfront_standins.deployments import NETZWERK, UpstreamPlan, first_ticket
 from mustardfront_standins.fleet import Fleet
@@ -95,6 +96,13 @@
     ):
         outcomes = Counter(item.answer.outcome or "no answer" for item in sent)
         click.echo(f"  {title:<24} {len(sent)} {dict(sorted(outcomes.items()))}")
+        codes = Counter(
+            Code(item.answer.code).name
+            for item in sent
+            if item.answer.code and item.answer.outcome != "answered"
+        )
+        if codes:
+            click.echo(f"    without an answer      {dict(codes.most_common())}")
     click.echo(f"  records run              {len(runs)}")
     click.echo(f"  tickets accepted         {len(history.accepted)}")
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -14,7 +14,7 @@
     token,
 )
 from mustardfront.codes import Code
-from mustardfront.protocol import Chunk, End, Refused
+from mustardfront.protocol import Chunk, End, Head, Refused
 
 TWO = {"w1": "writer", "w2": "writer"}
 
@@ -66,6 +66,23 @@
     assert set(resumed) == {(4, "0123")}
 
 
+async def test_refused_resume_ends_the_stream_with_an_error(autojump_clock):
+    # Guards against a second answer inside a stream that has begun.
+    async def refuse_resume(conn, req):
+        if req.resume_from:
+            await conn.send(Head(req.stream, 400))
+            await conn.send(Chunk(req.stream, 0, b"wrong resume text"))
+            await send_end(conn, req, 1)
+            return
+        await crash_after(4)(conn, req)
+
+    scripts = {"w1": refuse_resume, "w2": refuse_resume}
+    async with front_with(scripts, TWO) as client:
+        tokens, last = await client.stream()
+    assert tokens == ["0", "1", "2", "3"]
+    assert (last["code"], last["outcome"]) == (Code.UPSTREAM_BAD_ANSWER, "unknown")
+
+
 @pytest.mark.parametrize(
     ("sent", "count"), [([0, 1, 3], 4), ([0, 1], 3), ([1, 2], 3), ([], 1)]
 )
