Split the entry's attempts into a decision, an attempt and a note

Cause: one function of 60 lines kept seven variables over a loop. Ruled out: a class for the whole request; only what earlier attempts say is state. A request that never got an attempt now counts 0 of them, so it is logged as refused. Conclusion: no outcome changed.

--- a/src/mustardfront/programs/entry/_forward.py
+++ b/src/mustardfront/programs/entry/_forward.py
@@ -92,6 +92,45 @@
     return finish
 
 
+@dataclass(slots=True)
+class _Tries:
+    """What the attempts so far say about the next one and about the request."""
+
+    suspect: bool
+    excluded: frozenset[str] = frozenset()
+    # The upstream that a refusal named as the owner of the key.
+    preferred: str = ""
+    upstream: str = ""
+    count: int = 0
+    failure: Failed | None = None
+    # Once an attempt may have run, a later "not run" no longer holds for the request.
+    may_have_run: bool = False
+
+    def note(self, failure: Failed) -> None:
+        """Take over how the latest attempt failed."""
+        self.failure = failure
+        self.may_have_run = self.may_have_run or failure.outcome is Outcome.UNKNOWN
+        self.suspect = self.suspect or failure.code is Code.UPSTREAM_CRASHED
+        not_owner = failure.code is Code.NOT_OWNER
+        self.preferred = failure.text if not_owner else ""
+        if not not_owner:
+            self.excluded |= {self.upstream}
+
+    def finish(self) -> Finish:
+        """Return what the caller is told after the last attempt."""
+        failure = self.failure
+        if failure is None:
+            return Finish(Code.INTERNAL_ERROR, Outcome.UNKNOWN, "no attempt was made")
+        return Finish(
+            code=failure.code,
+            outcome=Outcome.UNKNOWN if self.may_have_run else failure.outcome,
+            text=failure.text,
+            upstream=self.upstream,
+            attempts=self.count,
+            retry_after_ms=failure.retry_after_ms,
+        )
+
+
 async def _attempts(
     fwd: Forwarder,
     req: CallerRequest,
@@ -101,53 +140,44 @@
 ) -> Finish:
     budget = fwd.budget_of(req.service)
     budget.record_request()
-    excluded: frozenset[str] = frozenset()
-    preferred = ""
-    suspect = fwd.quarantine.crashes_of(req.fingerprint) > 0
-    # Once an attempt may have run, a later "not run" no longer holds for the request.
-    may_have_run = False
-    failure: Failed | None = None
-    upstream = ""
-    for attempt in range(1, ATTEMPTS_MAX + 1):
-        if fwd.quarantine.is_held(req.fingerprint):
-            events.log(events.Event.REQUEST_HELD, request_id=req.request_id)
-            text = "this request crashed two upstreams"
-            failure = Failed(Code.REQUEST_HELD, Outcome.NOT_RUN, text)
+    tries = _Tries(suspect=fwd.quarantine.crashes_of(req.fingerprint) > 0)
+    while tries.count < ATTEMPTS_MAX:
+        decision = _decide(fwd, req, tries)
+        if isinstance(decision, Failed):
+            tries.failure = decision
             break
-        decision = _route(fwd, req, excluded, preferred)
-        if isinstance(decision, Err):
-            failure = failure or Failed(decision.code, Outcome.NOT_RUN, decision.text)
-            break
-        upstream = decision.value.upstream
-        message = _message(
-            fwd, req, attempt, progress, deadline_s, suspect, decision.value
-        )
-        result = await _one(fwd, req, decision.value, message, answer, progress)
+        tries.count += 1
+        tries.upstream = decision.upstream
+        message = _message(req, tries, progress, deadline_s, decision)
+        result = await _one(fwd, req, decision, message, answer, progress)
         if isinstance(result, Whole):
             fwd.quarantine.cleared(req.fingerprint)
-            return await _finish(answer, req, result, progress, upstream, attempt)
-        failure = result
-        may_have_run = may_have_run or result.outcome is Outcome.UNKNOWN
-        if attempt == ATTEMPTS_MAX or not _may_retry(req, result, budget, suspect):
+            return _finish(answer, req, result, progress, tries)
+        again = tries.count < ATTEMPTS_MAX and _may_retry(
+            req, result, budget, tries.suspect
+        )
+        tries.note(result)
+        if not again:
             break
-        suspect = suspect or result.code is Code.UPSTREAM_CRASHED
-        preferred = result.text if result.code is Code.NOT_OWNER else ""
-        if result.code is not Code.NOT_OWNER:
-            excluded |= {upstream}
-        _log_retry(req, attempt, upstream, result, progress)
-    failure = failure or Failed(Code.INTERNAL_ERROR, Outcome.UNKNOWN, "no attempt")
-    finish = Finish(
-        code=failure.code,
-        outcome=Outcome.UNKNOWN if may_have_run else failure.outcome,
-        text=failure.text,
-        upstream=upstream,
-        attempts=attempt,
-        retry_after_ms=failure.retry_after_ms,
-    )
+        _log_retry(req, tries, result, progress)
+    finish = tries.finish()
     answer.refuse(finish)
     return finish
 
 
+def _decide(fwd: Forwarder, req: CallerRequest, tries: _Tries) -> Decision | Failed:
+    """Return where the next attempt goes, or why there is none."""
+    if fwd.quarantine.is_held(req.fingerprint):
+        events.log(events.Event.REQUEST_HELD, request_id=req.request_id)
+        text = "this request crashed two upstreams"
+        return Failed(Code.REQUEST_HELD, Outcome.NOT_RUN, text)
+    decision = _route(fwd, req, tries.excluded, tries.preferred)
+    if isinstance(decision, Ok):
+        return decision.value
+    # An earlier attempt's failure says more than the lack of another upstream.
+    return tries.failure or Failed(decision.code, Outcome.NOT_RUN, decision.text)
+
+
 async def _one(
     fwd: Forwarder,
     req: CallerRequest,
@@ -164,15 +194,19 @@
     )
 
 
-async def _finish(
+def _finish(
     answer: Answer,
     req: CallerRequest,
     result: Whole,
     progress: Progress,
-    upstream: str,
-    attempts: int,
+    tries: _Tries,
 ) -> Finish:
-    finish = Finish(result.code, Outcome.ANSWERED, upstream=upstream, attempts=attempts)
+    finish = Finish(
+        result.code,
+        Outcome.ANSWERED,
+        upstream=tries.upstream,
+        attempts=tries.count,
+    )
     if not req.streamed or result.status != 200:
         answer.whole(finish, result.status, result.headers, result.body)
         return finish
@@ -227,18 +261,16 @@
 
 
 def _message(
-    fwd: Forwarder,
     req: CallerRequest,
-    attempt: int,
+    tries: _Tries,
     progress: Progress,
     deadline_s: float,
-    suspect: bool,
     decision: Decision,
 ) -> Request:
     message = Request(
         stream=0,
         request_id=req.request_id,
-        attempt=attempt,
+        attempt=tries.count,
         team=req.team,
         service=req.service,
         method=req.method,
@@ -251,7 +283,7 @@
         idempotent=req.idempotent,
         fingerprint=req.fingerprint,
         streamed=req.streamed,
-        suspect=suspect,
+        suspect=tries.suspect,
         config_version=decision.config_version,
     )
     if not progress.next_index:
@@ -277,17 +309,13 @@
 
 
 def _log_retry(
-    req: CallerRequest,
-    attempt: int,
-    upstream: str,
-    result: Failed,
-    progress: Progress,
+    req: CallerRequest, tries: _Tries, result: Failed, progress: Progress
 ) -> None:
     events.log(
         events.Event.REQUEST_RETRIED,
         request_id=req.request_id,
-        attempt=attempt,
-        upstream=upstream,
+        attempt=tries.count,
+        upstream=tries.upstream,
         code=int(result.code),
         text=result.text,
     )
