Give each attempt an ID of its own at the upstream

Cause: the engine knew an attempt by the caller's request ID and the attempt's number. Two callers that choose the same ID, or one that resends through another entry, shared it, so cancelling one could stop the other's stream; an ID with a slash or a blank also changed the path of the cancel. Found by reading. Ruled out: refusing such IDs, which callers may choose freely. The ID is now the quoted name and 6 random bytes. Conclusion: nothing at the upstream depends on a caller's choice.

--- a/src/mustardfront/programs/sidecar/_admission.py
+++ b/src/mustardfront/programs/sidecar/_admission.py
@@ -40,13 +40,11 @@
     return None
 
 
-def upstream_request_id(req: Request) -> str:
-    """Return the id of this attempt at the upstream; no other attempt has it."""
-    return f"{req.request_id}-{req.attempt}"
+def upstream_call(req: Request, upstream_id: str) -> Result[UpstreamCall]:
+    """Return the HTTP request to make; Err(MALFORMED_REQUEST) when there is none.
 
-
-def upstream_call(req: Request) -> Result[UpstreamCall]:
-    """Return the HTTP request to make; Err(MALFORMED_REQUEST) when there is none."""
+    ``upstream_id`` names the attempt at the upstream.
+    """
     if not req.path.startswith("/") or not _is_printable(req.path):
         return Err(Code.MALFORMED_REQUEST, "the path is not a request target")
     if not req.method.isalpha() or not req.method.isascii():
@@ -61,7 +59,7 @@
             return streamed
         body = streamed.value
     kept = tuple(pair for pair in req.headers if pair[0].lower() != "x-request-id")
-    headers = (*kept, ("x-request-id", upstream_request_id(req)))
+    headers = (*kept, ("x-request-id", upstream_id))
     return Ok(UpstreamCall(req.method, req.path, headers, body))
 
 
--- a/src/mustardfront/programs/sidecar/_attempt.py
+++ b/src/mustardfront/programs/sidecar/_attempt.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import math
+import secrets
 from typing import Final, Protocol
+from urllib.parse import quote
 
 import trio
 
@@ -32,6 +34,10 @@
         """Take a reply if there is room; say whether there was."""
 
 
+_NAME_MAX_CHARS: Final = 64
+_TOKEN_BYTES: Final = 6
+
+
 class Attempt:
     """A request from one connection, its deadline in trio time, and its progress."""
 
@@ -39,6 +45,9 @@
         self.req = req
         self.conn = conn
         self.deadline_s = deadline_s
+        # Callers choose request IDs, so two may use the same one, with any text.
+        name = quote(req.request_id, safe="")[:_NAME_MAX_CHARS]
+        self.upstream_id = f"{name}-{secrets.token_hex(_TOKEN_BYTES)}"
         # True from immediately before the first byte goes to the upstream.
         self.handed_over = False
         # The upstream's instance when the request was handed over.
--- a/src/mustardfront/programs/sidecar/_relay.py
+++ b/src/mustardfront/programs/sidecar/_relay.py
@@ -16,7 +16,6 @@
     refusal,
     unable,
     upstream_call,
-    upstream_request_id,
 )
 from mustardfront.programs.sidecar._attempt import Attempt
 from mustardfront.programs.sidecar._events import (
@@ -85,7 +84,7 @@
     err = refusal(side, req)
     if err is not None:
         return attempt.refused(err, RETRY_AFTER_MS)
-    call = upstream_call(req)
+    call = upstream_call(req, attempt.upstream_id)
     if isinstance(call, Err):
         return attempt.refused(call)
     if must_be_claimed(req) and not attempt.claimed:
@@ -214,7 +213,7 @@
 
 async def _cancel_upstream(side: Sidecar, attempt: Attempt) -> None:
     """Ask the engine to stop; closing the connection alone may go unnoticed."""
-    path = f"/v1/requests/{upstream_request_id(attempt.req)}"
+    path = f"/v1/requests/{attempt.upstream_id}"
     with trio.move_on_after(CANCEL_TIMEOUT_S):
         async with side.client.exchange(UpstreamCall("DELETE", path)) as answer:
             if isinstance(answer, Ok):
