Bound the doublings of routing delays, which overflowed after hours

Cause: the delay before a lost upstream is tried again, and the time of an ejection, were computed as 2.0 to the number of failures. With a try every 5 s that number passes 1,023 after 1.4 hours; the overflow ended the link's task and with it the entry. Found by reading; a region that is away for an hour and a half would have taken all entries with it. Ruled out: resetting the count, which would try again too often. Before: both cases of the new test end with OverflowError. After: they pass.

--- a/src/mustardfront/coordination/routing/_health.py
+++ b/src/mustardfront/coordination/routing/_health.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import Final
 
 from mustardfront.coordination.routing._knobs import RoutingKnobs
 
 NEVER = float("-inf")
+# Beyond these a delay is at its limit, and an exponent from hours of failures would
+# overflow.
+DOUBLINGS_MAX: Final = 16
 
 
 class Health:
@@ -53,7 +57,8 @@
 
     def eject(self, now: float, knobs: RoutingKnobs) -> float:
         """Eject for a time that doubles with each ejection in a row; return it."""
-        duration = min(knobs.eject_base_s * 2.0**self.ejections, knobs.eject_max_s)
+        doublings = min(self.ejections, DOUBLINGS_MAX)
+        duration = min(knobs.eject_base_s * 2.0**doublings, knobs.eject_max_s)
         self.ejected = True
         self.ejected_until = now + duration
         self.ejections += 1
--- a/src/mustardfront/coordination/routing/_table.py
+++ b/src/mustardfront/coordination/routing/_table.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from mustardfront import events
-from mustardfront.coordination.routing._health import NEVER
+from mustardfront.coordination.routing._health import DOUBLINGS_MAX, NEVER
 from mustardfront.coordination.routing._knobs import RoutingKnobs
 from mustardfront.coordination.routing._state import UpstreamState
 from mustardfront.protocol import LoadReport
@@ -160,7 +160,8 @@
             state.update_availability()
             return
         knobs = self.knobs
-        delay = min(knobs.reconnect_base_s * 2.0**state.lost, knobs.reconnect_max_s)
+        doublings = min(state.lost, DOUBLINGS_MAX)
+        delay = min(knobs.reconnect_base_s * 2.0**doublings, knobs.reconnect_max_s)
         state.lost += 1
         state.down_until = self.clock() + delay
         state.report_at = NEVER
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -308,3 +308,20 @@
     report(table, "g5", 1)
     assert table.state("g5") is None
     assert "g5" not in chosen(table, smaller)
+
+
+@pytest.mark.parametrize("fault", ["lost", "failing"])
+def test_hours_of_failures_are_survived(fault):
+    # Guards against an exponent that overflows: a region may be away for hours, and
+    # the entry's task, and so the entry, would end with the error.
+    table, clock = make_table(make_config(3))
+    name = next(iter(table.fronts("svc"))).name
+    for _ in range(3_000):
+        if fault == "lost":
+            table.connected(name, False)
+        else:
+            table.started(name)
+            table.finished(name, 0.1, False)
+        clock.now += 61.0
+    state = table.state(name)
+    assert state is not None and state.available_at - clock.now <= 60.0
