Pass paths on as sent, refuse dot segments, survive what cannot be encoded

Cause: three faults found by reading. The entry passed the unquoted path on, so a name with a blank was refused and one with a slash changed. A path with '..' met the route of another call, perhaps one that must not be repeated. A message with text that is no Unicode, or a number out of range, ended its connection's writer and with it the process. Ruled out: ending only the connection, which would take its other calls along. Before: four of the new cases fail. After: all pass. Conclusion: such a message is dropped and logged; its call ends at its deadline.

--- a/src/mustardfront/programs/entry/_app.py
+++ b/src/mustardfront/programs/entry/_app.py
@@ -130,7 +130,8 @@
     elif not front.is_ready():
         req = Err(Code.NOT_READY, "this entry has no configuration yet")
     else:
-        target = scope["path"]
+        # "path" is unquoted: with it, a blank or a slash in a name would be lost.
+        target = scope["raw_path"].decode("ascii")
         if scope.get("query_string"):
             target += "?" + scope["query_string"].decode("latin-1")
         req = check_request(
--- a/src/mustardfront/programs/entry/_callers.py
+++ b/src/mustardfront/programs/entry/_callers.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any, Final
+from urllib.parse import unquote
 
 import msgspec
 import xxhash
@@ -26,6 +27,7 @@
 COMPLETIONS_PATH: Final = "/v1/completions"
 # Prompts with the same start share cache blocks, so this much decides affinity.
 PREFIX_CHARS: Final = 256
+_DOT_SEGMENTS: Final = frozenset({".", ".."})
 # Hop-by-hop headers and the system's own are not passed on to an upstream.
 _PRIVATE_HEADERS: Final = frozenset(
     {
@@ -193,6 +195,9 @@
     if service is None or service.kind != "plain":
         return Err(Code.UNKNOWN_SERVICE, f"no plain service {name!r}")
     path = "/" + rest
+    if not _DOT_SEGMENTS.isdisjoint(unquote(path.split("?")[0]).split("/")):
+        # The upstream may resolve them to another call than the route says.
+        return Err(Code.MALFORMED_REQUEST, "the path has '.' or '..' segments")
     route = _match(service, method, path)
     if route is None and service.routes:
         return Err(Code.NO_ROUTE, f"{name} has no call {method} {path.split('?')[0]}")
--- a/src/mustardfront/protocol/_codec.py
+++ b/src/mustardfront/protocol/_codec.py
@@ -5,7 +5,7 @@
 import dataclasses
 from collections.abc import Sequence
 from importlib import resources
-from typing import Any, get_args
+from typing import Any, Final, get_args
 
 import capnp
 
@@ -16,6 +16,9 @@
 capnp.remove_import_hook()
 _schema = capnp.load(str(resources.files("mustardfront.protocol") / "messages.capnp"))
 
+# What encoding raises for a value out of range and for text with lone surrogates.
+ENCODE_ERRORS: Final = (capnp.KjException, ValueError)
+
 
 def _camel(name: str) -> str:
     first, *rest = name.split("_")
--- a/src/mustardfront/protocol/_peer.py
+++ b/src/mustardfront/protocol/_peer.py
@@ -23,7 +23,13 @@
     PROTOCOL_VERSION_MIN,
     SEND_QUEUE_MESSAGES,
 )
-from mustardfront.protocol._codec import decode, decode_all, encode, encode_chunks
+from mustardfront.protocol._codec import (
+    ENCODE_ERRORS,
+    decode,
+    decode_all,
+    encode,
+    encode_chunks,
+)
 from mustardfront.protocol._messages import Chunk, Fault, Hello, Message, Proof
 from mustardfront.results import Err, Ok, Result
 from mustardfront.transport import FrameStream
@@ -238,16 +244,34 @@
                     batch.append(queue.receive_nowait())
                 except (trio.WouldBlock, trio.EndOfChannel):
                     break
-            if conn.version >= CHUNKS_VERSION:
-                payloads = _encode_together(batch)
-            else:
-                payloads = [encode(item) for item in batch]
-            sent = await frames.send(payloads)
+            sent = await frames.send(_encode_batch(batch, conn.version))
             if isinstance(sent, Err):
                 conn.closed = conn.closed or sent
                 return
 
 
+def _encode_batch(messages: list[Message], version: int) -> list[bytes]:
+    """Encode messages in order, without those that cannot be encoded.
+
+    One message with a value out of range or text that is no Unicode must not end the
+    connection and all other calls on it.
+    """
+    try:
+        if version >= CHUNKS_VERSION:
+            return _encode_together(messages)
+        return [encode(message) for message in messages]
+    except ENCODE_ERRORS:
+        payloads: list[bytes] = []
+        for message in messages:
+            try:
+                payloads.append(encode(message))
+            except ENCODE_ERRORS as exc:
+                kind = type(message).__name__
+                text = f"a {kind} cannot be encoded: {str(exc)[:200]}"
+                events.log(events.Event.TASK_FAILED, task="send", text=text)
+        return payloads
+
+
 def _encode_together(messages: Iterable[Message]) -> list[bytes]:
     """Encode messages in order, with the chunks that follow each other as one."""
     payloads: list[bytes] = []
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -4,6 +4,7 @@
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from urllib.parse import unquote
 
 import trio
 import trio.testing
@@ -116,7 +117,8 @@
         scope = {
             "type": "http",
             "method": method,
-            "path": path,
+            "path": unquote(path),
+            "raw_path": path.encode(),
             "query_string": b"",
             "headers": [(n.encode(), v.encode()) for n, v in all_headers.items()],
         }
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -196,6 +196,19 @@
     assert names["x-outcome"] == "unknown"
 
 
+async def test_quoted_path_reaches_the_upstream_as_it_was_sent(autojump_clock):
+    # Guards against a name with a blank or a slash that changes on its way.
+    paths = []
+
+    async def record(conn, req):
+        paths.append(req.path)
+        await send_end(conn, req, 0)
+
+    async with front_with({"l1": record}, {"l1": "ledger"}) as client:
+        await client.call("GET", "/s/ledger/records/a%20b%2Fc%C3%A9")
+    assert paths == ["/records/a%20b%2Fc%C3%A9"]
+
+
 async def test_refused_connection_is_not_run(autojump_clock):
     async with front_with({}, TWO) as client:
         _, last = await client.stream()
@@ -298,6 +311,8 @@
         ("GET", "/s/none/x", b"", {}, Code.UNKNOWN_SERVICE),
         ("GET", "/elsewhere", b"", {}, Code.UNKNOWN_SERVICE),
         ("PUT", "/s/ledger/x", b"", {}, Code.NO_ROUTE),
+        ("GET", "/s/ledger/x/../../admin", b"", {}, Code.MALFORMED_REQUEST),
+        ("GET", "/s/ledger/x%2F%2e%2E/admin", b"", {}, Code.MALFORMED_REQUEST),
         ("POST", "/s/booking/x", b"", {}, Code.KEY_REQUIRED),
         ("GET", "/s/ledger/x", b"", {"authorization": "Basic x"}, Code.WRONG_KEY),
         ("GET", "/s/ledger/x", b"", {"authorization": "Bearer a:b"}, 2001),
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -215,3 +215,11 @@
     )
     assert cut != whole
     assert isinstance(decode_all(cut), Err)
+
+
+async def test_message_that_cannot_be_encoded_ends_no_other_call(autojump_clock):
+    async with pair() as (near, far):
+        assert isinstance(near, Ok) and isinstance(far, Ok)
+        for message in (Ping(-1, 0), End(1, 1, "x", 0, text="\ud83d"), Ping(7, 0)):
+            await near.value.send(message)
+        assert await far.value.receive() == Ok(Ping(7, 0))
