Take an unknown code of a newer peer as an internal error

Cause: an entry turned a number that it does not know into a ValueError, so during an upgrade that adds a code its callers would get no answer. Found by reading. Ruled out: a new protocol version for each code. Before, by the code: the request ends with an exception; not run on the earlier version. After: INTERNAL_ERROR with the outcome that the message proves. Conclusion: codes can be added without a version.

--- a/src/mustardfront/codes.py
+++ b/src/mustardfront/codes.py
@@ -86,3 +86,19 @@
     SETTING_INVALID = 9000
     ADDRESS_IN_USE = 9001
     INTERNAL_ERROR = 9999
+
+
+def code_of(number: int) -> Code:
+    """Return the code of a number; a newer peer's unknown one is INTERNAL_ERROR."""
+    try:
+        return Code(number)
+    except ValueError:
+        return Code.INTERNAL_ERROR
+
+
+def outcome_of(text: str) -> Outcome:
+    """Return the outcome in a message; an unknown one proves nothing."""
+    try:
+        return Outcome(text)
+    except ValueError:
+        return Outcome.UNKNOWN
--- a/src/mustardfront/programs/entry/_attempt.py
+++ b/src/mustardfront/programs/entry/_attempt.py
@@ -8,7 +8,7 @@
 import msgspec
 import trio
 
-from mustardfront.codes import Code, Outcome
+from mustardfront.codes import Code, Outcome, code_of, outcome_of
 from mustardfront.coordination.routing import UpstreamTable
 from mustardfront.programs.entry._answers import Answer, Finish
 from mustardfront.programs.entry._callers import CallerRequest
@@ -189,7 +189,7 @@
 
 def _refused(reply: Refused) -> Failed:
     outcome = Outcome.NOT_RUN if reply.not_run else Outcome.UNKNOWN
-    return Failed(Code(reply.code), outcome, reply.text, reply.retry_after_ms)
+    return Failed(code_of(reply.code), outcome, reply.text, reply.retry_after_ms)
 
 
 def _gap(chunk: Chunk, expected: int) -> Failed:
@@ -198,9 +198,9 @@
 
 
 def _ended(end: End, head: Head, count: int, body: bytes) -> AttemptResult:
-    code = Code(end.code)
+    code = code_of(end.code)
     if code not in (Code.ANSWERED, Code.ANSWERED_FROM_RECORD):
-        return Failed(code, Outcome(end.outcome), end.text)
+        return Failed(code, outcome_of(end.outcome), end.text)
     if end.chunks != count:
         text = f"the answer has {end.chunks} parts, {count} arrived"
         return Failed(Code.STREAM_CUT, Outcome.UNKNOWN, text)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -209,6 +209,21 @@
     assert paths == ["/records/a%20b%2Fc%C3%A9"]
 
 
+@pytest.mark.parametrize("kind", ["refused", "ended"])
+async def test_code_of_a_newer_peer_is_no_fault(autojump_clock, kind):
+    # Guards against an upgrade that adds a code while older entries still run.
+    async def newer(conn, req):
+        if kind == "refused":
+            await conn.send(Refused(req.stream, 3999, True))
+        else:
+            await conn.send(End(req.stream, 4999, "perhaps", 0))
+
+    async with front_with({"w1": newer}, {"w1": "writer"}) as client:
+        _, last = await client.stream()
+    assert last["code"] == Code.INTERNAL_ERROR
+    assert last["outcome"] == ("not-run" if kind == "refused" else "unknown")
+
+
 async def test_refused_connection_is_not_run(autojump_clock):
     async with front_with({}, TWO) as client:
         _, last = await client.stream()
