Contain faults to the connection or the request that has them

Cause: an unexpected error in a handler of one peer connection, in a link or in a dialled peer ended the whole process; in a request it reached the HTTP server, which answers without a code and logs nothing. Found by reading. Ruled out: catching errors around whole programs, which would hide them. Before: the peer server ends with the handler's error (the new test then gets no second connection), by the code; after: both connections are served, and a request's fault is answered with INTERNAL_ERROR, outcome unknown, and logged. Conclusion: faults are logged as task-failed, with the end of the traceback.

--- a/src/mustardfront/coordination/peers/_dial.py
+++ b/src/mustardfront/coordination/peers/_dial.py
@@ -10,6 +10,7 @@
 import trio
 import xxhash
 
+from mustardfront import events
 from mustardfront.coordination.hosts import HostEntry, HostList
 from mustardfront.coordination.peers._hub import PeerHub
 from mustardfront.protocol import Identity, PeerConnection
@@ -81,7 +82,8 @@
             self._busy.add(entry.address)
             began = trio.current_time()
             try:
-                await self._serve(entry)
+                with events.faults_logged(f"peer {entry.address}"):
+                    await self._serve(entry)
             finally:
                 self._busy.discard(entry.address)
             if trio.current_time() - began >= _STABLE_S:
--- a/src/mustardfront/events.py
+++ b/src/mustardfront/events.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import sys
-from collections.abc import Callable
+import traceback
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from enum import IntEnum
 from typing import Any
 
@@ -11,6 +13,8 @@
 from eliot import FileDestination
 
 JsonValue = Any
+# The end of a traceback names the fault.
+_FAULT_TEXT_CHARS = 2_000
 
 
 class Event(IntEnum):
@@ -98,3 +102,16 @@
     )
     for listener in _listeners:
         listener(event, fields)
+
+
+@contextmanager
+def faults_logged(task: str) -> Iterator[None]:
+    """Log an unexpected error and go on behind the context.
+
+    For the tasks of one connection: a fault there must not end the whole process.
+    """
+    try:
+        yield
+    except Exception as exc:
+        text = "".join(traceback.format_exception(exc))[-_FAULT_TEXT_CHARS:]
+        log(Event.TASK_FAILED, task=task, text=text)
--- a/src/mustardfront/programs/entry/_app.py
+++ b/src/mustardfront/programs/entry/_app.py
@@ -148,7 +148,13 @@
         await answer.deliver(send)
         _log_finish(front, request_id, None, finish, began_s)
         return
-    finish = await _admitted(front, req.value, answer, receive, send)
+    text = "internal error of the entry; its log has the cause"
+    finish = Finish(Code.INTERNAL_ERROR, Outcome.UNKNOWN, text)
+    with events.faults_logged(f"request {request_id}"):
+        finish = await _admitted(front, req.value, answer, receive, send)
+    if finish.code is Code.INTERNAL_ERROR and not answer.begun:
+        answer.refuse(finish)
+        await answer.deliver(send)
     _log_finish(front, request_id, req.value, finish, began_s)
 
 
--- a/src/mustardfront/programs/entry/_links.py
+++ b/src/mustardfront/programs/entry/_links.py
@@ -64,7 +64,9 @@
         pause_s = LINK_RETRY_MIN_S
         with self._scope:
             while not self.ended:
-                up = await self._connected(identity, key, hub, table)
+                up = False
+                with events.faults_logged(f"link to {self.upstream}"):
+                    up = await self._connected(identity, key, hub, table)
                 pause_s = LINK_RETRY_MIN_S if up else min(pause_s * 2, LINK_RETRY_MAX_S)
                 if not self.ended:
                     await trio.sleep(pause_s * rng.uniform(0.5, 1.0))
--- a/src/mustardfront/protocol/_peer.py
+++ b/src/mustardfront/protocol/_peer.py
@@ -219,9 +219,10 @@
     """
 
     async def accept(stream: trio.SocketStream) -> None:
-        async with open_peer(stream, identity, key, dialled=False) as conn:
-            if isinstance(conn, Ok):
-                await handler(conn.value)
+        with events.faults_logged("accepted peer"):
+            async with open_peer(stream, identity, key, dialled=False) as conn:
+                if isinstance(conn, Ok):
+                    await handler(conn.value)
 
     host, port = address
     listeners = await trio.open_tcp_listeners(port, host=host)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -224,6 +224,19 @@
     assert last["outcome"] == ("not-run" if kind == "refused" else "unknown")
 
 
+async def test_fault_in_a_request_is_told_to_its_caller_only(autojump_clock):
+    # Guards against a fault that the HTTP server swallows without an answer.
+    async with front_with({"w1": serve_ten}, {"w1": "writer"}) as client:
+        table = client.front.forwarder.table
+        original = table.started
+        table.started = lambda upstream: 1 / 0
+        _, last = await client.stream()
+        assert (last["code"], last["outcome"]) == (Code.INTERNAL_ERROR, "unknown")
+        table.started = original
+        assert not client.front.open_ids
+        assert (await client.stream())[1]["code"] == Code.ANSWERED
+
+
 async def test_refused_connection_is_not_run(autojump_clock):
     async with front_with({}, TWO) as client:
         _, last = await client.stream()
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -27,9 +27,11 @@
     Ping,
     Request,
     Started,
+    connect_peer,
     decode,
     encode,
     open_peer,
+    serve_peers,
 )
 from mustardfront.protocol._codec import decode_all, encode_chunks
 from mustardfront.results import Err, Ok, Result
@@ -223,3 +225,24 @@
         for message in (Ping(-1, 0), End(1, 1, "x", 0, text="\ud83d"), Ping(7, 0)):
             await near.value.send(message)
         assert await far.value.receive() == Ok(Ping(7, 0))
+
+
+async def test_fault_in_one_peers_handler_ends_no_other_connection():
+    # Guards against one bad message that takes a process and all its peers down.
+    served = []
+
+    async def handler(conn: PeerConnection) -> None:
+        served.append(conn.remote.instance)
+        raise RuntimeError("a fault")
+
+    with trio.fail_after(20):
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(
+                serve_peers, ("127.0.0.1", 0), SIDECAR, KEY, handler
+            )
+            for _ in range(2):
+                async with connect_peer(address, ENTRY, KEY) as conn:
+                    assert isinstance(conn, Ok)
+                    assert isinstance(await conn.value.receive(), Err)
+            nursery.cancel_scope.cancel()
+    assert served == ["instance-1"] * 2
