Print the decisions behind each request of the demo, and a refused limit

Cause: the demo showed the decision lines of one request only, and no team over its limit. Ruled out: a line for each event while requests run, which mixes them. Conclusion: a newcomer sees why each upstream was chosen.

--- a/src/mustardfront_standins/demo.py
+++ b/src/mustardfront_standins/demo.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import json
 import sys
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Final
 
 import click
@@ -29,6 +31,7 @@
 _DRAFT_TOKENS: Final = 40
 _LONG_TOKENS: Final = 400
 _TIMEOUT_S: Final = 120.0
+_LIMITED_TEAM: Final = BELANGER.teams[1]
 
 
 @dataclass(slots=True)
@@ -36,9 +39,12 @@
     """The printed table and what was not as it must be."""
 
     wrong: list[str] = field(default_factory=list)
+    # Request IDs of the rows, for their decisions.
+    shown: list[tuple[str, str]] = field(default_factory=list)
 
     def row(self, title: str, team: str, service: str, answer: CallerAnswer) -> None:
         """Print one request's row."""
+        self.shown.append((title, answer.request_id))
         code = Code(answer.code).name if answer.code else "NO ANSWER"
         click.echo(
             f"{title:<26} {team:<16} {service:<14} {answer.upstream:<16}"
@@ -166,12 +172,45 @@
     report.row("after ticket 2", team, NETZWERK.model, answer)
 
 
-async def _decisions(
-    system: System, caller: Caller, report: Report, answer_id: str
-) -> None:
-    shown = await system.cli("explain", answer_id)
-    click.echo(shown)
-    report.expect("ROUTE_CHOSEN" in shown.upper().replace("-", "_"), "no decision line")
+async def _decisions(system: System, caller: Caller, report: Report) -> None:
+    """Print the decision lines behind each request that was shown."""
+    click.echo("Decisions:")
+    for title, request_id in report.shown:
+        found = 0
+        for url in system.ops_urls:
+            status, body = await caller.get(url, f"/explain/{request_id}")
+            for event in json.loads(body) if status == 200 else ():
+                found += 1
+                fields = " ".join(
+                    f"{name}={event[name]}"
+                    for name in ("upstream", "reason", "candidates", "code", "text")
+                    if event.get(name)
+                )
+                click.echo(f"  {title:<26} {event['event']} {event['name']} {fields}")
+        report.expect(found > 0, f"{title}: no decision line")
+
+
+async def _over_the_limit(system: System, caller: Caller, report: Report) -> None:
+    """Send two requests of a team that may have one in flight."""
+    team, model = _LIMITED_TEAM, BELANGER.model
+    answers = [CallerAnswer(), CallerAnswer()]
+    async with trio.open_nursery() as nursery:
+        for number, answer in enumerate(answers):
+            nursery.start_soon(
+                partial(
+                    caller.complete,
+                    system.entry_urls[0],
+                    team,
+                    model,
+                    f"limited {number}",
+                    _DRAFT_TOKENS,
+                    progress=answer,
+                )
+            )
+    refused, served = sorted(answers, key=lambda answer: answer.outcome == "answered")
+    report.row("over the limit", team, model, refused)
+    report.code("over the limit", refused, Code.TEAM_LIMIT)
+    report.code("within the limit", served, Code.ANSWERED)
 
 
 async def _dead_service(
@@ -205,6 +244,7 @@
     async with Fleet() as fleet, Caller() as caller:
         system = await start_system(fleet, plans, entries=2, engine_args=_engine_args)
         ticket = first_ticket((NETZWERK, BELANGER), plans, system.sidecar_addresses)
+        ticket["set"]["teams"][_LIMITED_TEAM]["max_in_flight"] = 1
         click.echo(await system.submit(ticket))
         report.expect(
             await system.in_force_everywhere(1, 12.0),
@@ -214,6 +254,7 @@
         for deployment in (NETZWERK, BELANGER):
             await _serve_deployment(system, caller, report, deployment)
         await _refusals(system, caller, report)
+        await _over_the_limit(system, caller, report)
         killed = await _kill_in_mid_stream(system, caller, report, fleet)
         model_plans = [plan for plan in plans if plan.service == NETZWERK.model]
         drained = next(plan for plan in model_plans if plan.name != killed)
@@ -221,8 +262,9 @@
         explained = await caller.complete(
             system.entry_urls[0], NETZWERK.teams[0], NETZWERK.model, "explained", 5
         )
-        await _decisions(system, caller, report, explained.request_id)
+        click.echo(await system.cli("explain", explained.request_id))
         await _dead_service(system, caller, report, fleet)
+        await _decisions(system, caller, report)
         click.echo(await system.cli("ticket", "list"))
         for name, proc in system.programs():
             code = await fleet.stop(proc)
