Let a held group go only once all ranks are armed alike

A hold that was given up lands late, the orders of the next version are late too, no rank is armed and not all are prepared alike; the group was released as idle, and a late order to arm an older version then switched one rank alone. Reading the orders once more gave three further cases: a release of a step beyond the switch that arrives late and frees a later switch; one version armed for two held steps; a version that one rank replaced, for which the group stayed held (the arming never ended).

Ruled out: releasing an idle group after a wait (an order may be 12 s late), and disarming on doubt (a late order to disarm undoes a live switch).

Change: a step is released only when all ranks are armed alike for a step not before it; otherwise the group goes through a fresh version of the map in force under the same hold; only a version that a rank replaced is disarmed; ranks without a desk are read directly at the first incomplete look. Recovery has a module of its own.

Conclusion: one map per step no longer rests on how late an order is. Taken for granted by the specification: locks, and that all ranks are read at one moment.

--- a/src/mustardfront/coordination/rankmaps/__init__.py
+++ b/src/mustardfront/coordination/rankmaps/__init__.py
@@ -19,10 +19,10 @@
     layer_cost,
     plan_layers,
 )
+from mustardfront.coordination.rankmaps._recover import recover
 from mustardfront.coordination.rankmaps._switch import (
     is_unsettled,
     next_version,
-    recover,
     release,
     switch,
 )
--- a/src/mustardfront/coordination/rankmaps/_lead.py
+++ b/src/mustardfront/coordination/rankmaps/_lead.py
@@ -12,7 +12,8 @@
 from mustardfront.coordination.rankmaps._loads import LoadWindow
 from mustardfront.coordination.rankmaps._members import Members, States
 from mustardfront.coordination.rankmaps._plan import Plan, PlanLimits, plan_layers
-from mustardfront.coordination.rankmaps._switch import is_unsettled, recover, switch
+from mustardfront.coordination.rankmaps._recover import current_layers, recover
+from mustardfront.coordination.rankmaps._switch import is_unsettled, switch
 from mustardfront.coordination.rankmaps._types import RankPort
 from mustardfront.state import EngineModel, LayerMap
 
@@ -79,9 +80,9 @@
                 if is_refused and not was_whole:
                     await self._members.unlock()
                     return
+                if not is_refused:
+                    await self._settle_without(states)
                 if began_s - whole_at > INCOMPLETE_MAX_S:
-                    if not is_refused:
-                        await self._settle_without(states)
                     await self._members.unlock()
                     return
             await trio.sleep_until(began_s + POLL_S)
@@ -155,16 +156,8 @@
         known = self._current
         if known is not None and (known.version, known.epoch) == (version, epoch):
             return known
-        self._current = None
-        rows = [
-            state.maps.rows
-            for _, state in sorted(states.items())
-            if state.maps is not None and state.maps.version == version
-        ]
-        if len(rows) != len(states):
-            return None
-        layers = tuple(zip(*rows, strict=True))
-        self._current = _Current(version, epoch, layers)
+        layers = current_layers(states)
+        self._current = _Current(version, epoch, layers) if layers else None
         return self._current
 
     async def _settle(self, states: States) -> None:
@@ -183,5 +176,5 @@
     async def _settle_without(self, states: States) -> None:
         """Settle a held group though some ranks' desks are gone."""
         members, found = await self._members.with_direct(states, self._port_of)
-        if len(found) == len(members.names) and is_unsettled(found):
+        if members.is_whole(found) and is_unsettled(found):
             await recover(members, found)
--- a/src/mustardfront/coordination/rankmaps/_members.py
+++ b/src/mustardfront/coordination/rankmaps/_members.py
@@ -54,9 +54,9 @@
         ports = {rank: port_of(rank) for rank in self.names if rank not in states}
         found = dict(states)
         for rank, port in ports.items():
-            report = await port.report()
-            if isinstance(report, Ok):
-                found[rank] = MemberState(report.value, locked=True)
+            state = await _read_directly(port)
+            if state is not None:
+                found[rank] = state
         return replace(self, direct=ports), found
 
     async def states(
@@ -67,12 +67,19 @@
             self.holder, lock=True, with_counts=with_counts, with_maps=with_maps
         )
         data = msgspec.to_builtins(query)
-        answers = await self.ask(dict.fromkeys(self.names.values(), (ASK_STATE, data)))
+        by_desk = {
+            rank: one for rank, one in self.names.items() if rank not in self.direct
+        }
+        answers = await self.ask(dict.fromkeys(by_desk.values(), (ASK_STATE, data)))
         found: States = {}
-        for rank, name in self.names.items():
+        for rank, name in by_desk.items():
             state = _parse(answers[name], MemberState)
             if isinstance(state, Ok):
                 found[rank] = state.value
+        for rank, port in self.direct.items():
+            direct = await _read_directly(port, with_maps=with_maps)
+            if direct is not None:
+                found[rank] = direct
         return found
 
     async def unlock(self) -> None:
@@ -116,9 +123,21 @@
 
 async def _order_directly(port: RankPort, order: RankOrder) -> OrderResult:
     outcome = await port.order(order)
+    return OrderResult(outcome, await _read_directly(port))
+
+
+async def _read_directly(
+    port: RankPort, *, with_maps: bool = False
+) -> MemberState | None:
     report = await port.report()
-    state = MemberState(report.value, locked=True) if isinstance(report, Ok) else None
-    return OrderResult(outcome, state)
+    if isinstance(report, Err):
+        return None
+    if not with_maps:
+        return MemberState(report.value, locked=True)
+    maps = await port.maps()
+    if isinstance(maps, Err):
+        return None
+    return MemberState(report.value, locked=True, maps=maps.value)
 
 
 def _parse(answer: Result[dict[str, Any]], kind: type[Any]) -> Result[Any]:
--- a/src/mustardfront/coordination/rankmaps/_switch.py
+++ b/src/mustardfront/coordination/rankmaps/_switch.py
@@ -4,21 +4,20 @@
 later. So the group is held at a step first, all ranks are armed for that step, and
 the step is released only when every rank reported that it is armed. An order that is
 carried out late then finds either the same intent, which changes nothing, or a step
-that has begun or another epoch, which the rank refuses. A coordinator that ends
-between two orders leaves a held group, which ``recover`` brings to the same end: it
-needs no lock, since it only repeats what the first coordinator would have done.
+that has begun, a newer version or another epoch, which the rank refuses. A coordinator
+that ends between two orders leaves a held group; ``_recover`` lets it go on.
+Specification: ``specs/timed_switch.py``.
 """
 
 from __future__ import annotations
 
 import random
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from typing import Final
 
 import trio
 
 from mustardfront import events
-from mustardfront.coordination.rankmaps._desk import MemberState
 from mustardfront.coordination.rankmaps._members import Members, States
 from mustardfront.coordination.rankmaps._types import (
     Armed,
@@ -85,9 +84,9 @@
     """
     epoch = states[members.own].report.seat.epoch
     version = next_version(states, members.own)
-    prepare = RankOrder(OrderKind.PREPARE, epoch, version=version, layers=tuple(layers))
+    order = RankOrder(OrderKind.PREPARE, epoch, version=version, layers=tuple(layers))
     began_s = trio.current_time()
-    ready = await _prepare(members, prepare, load_s, sleep)
+    ready = await prepare(members, order, load_s, sleep)
     if ready is None:
         _log_kept(members, version, "not all ranks prepared it")
         return False
@@ -101,12 +100,12 @@
     if step is None:
         _log_kept(members, version, "the group was not held")
         return False
-    return await _finish(
+    return await finish(
         members, epoch, Armed(version, step), {members.own: step}, sleep
     )
 
 
-async def _prepare(
+async def prepare(
     members: Members, order: RankOrder, load_s: float, sleep: Sleep
 ) -> States | None:
     """Let all ranks load the map; return their states once they have it."""
@@ -136,16 +135,22 @@
         waiting = {
             rank
             for rank in members.names
-            if rank not in states or not _is_prepared(states[rank], order.version)
+            if rank not in states or not _is_prepared(members, states, rank, order)
         }
         if not waiting:
             return states
     return None
 
 
-def _is_prepared(state: MemberState, version: int) -> bool:
-    """Say whether a rank loaded a map and its rows are those that were ordered."""
-    return state.report.prepared == state.checked == version
+def _is_prepared(members: Members, states: States, rank: int, order: RankOrder) -> bool:
+    """Say whether a rank loaded a map and its rows are those that were ordered.
+
+    The rows of a rank without a desk are not compared: a version has one content.
+    """
+    state = states[rank]
+    if state.report.prepared != order.version:
+        return False
+    return rank in members.direct or state.checked == order.version
 
 
 async def _has_all(members: Members, order: RankOrder, ranks: Iterable[int]) -> bool:
@@ -178,11 +183,36 @@
     return None
 
 
-async def _finish(
-    members: Members, epoch: int, target: Armed, held: dict[int, int], sleep: Sleep
+async def finish(
+    members: Members,
+    epoch: int,
+    target: Armed,
+    held: Mapping[int, int],
+    sleep: Sleep,
 ) -> bool:
-    """Arm every rank of a held group, check that, and release the ranks' held steps."""
+    """Arm every rank of a held group, check that, and release the ranks' held steps.
+
+    A step beyond the target's stays held: a late order to release it could free a later
+    switch.
+    """
     began_s = trio.current_time()
+    if not await _arm(members, epoch, target, sleep):
+        return False
+    due = {rank: step for rank, step in held.items() if step <= target.step}
+    released = await release(members, epoch, due, sleep)
+    events.log(
+        events.Event.MAP_DECIDED,
+        group=members.group,
+        map_version=target.version,
+        step=target.step,
+        released=released,
+        elapsed_ms=round((trio.current_time() - began_s) * 1000),
+    )
+    return released
+
+
+async def _arm(members: Members, epoch: int, target: Armed, sleep: Sleep) -> bool:
+    """Order all ranks to arm until each reports it; say whether all did."""
     arm = RankOrder(OrderKind.ARM, epoch, version=target.version, step=target.step)
     waiting = set(members.names)
     for _ in range(REPEATS_MAX):
@@ -195,26 +225,18 @@
                 return False
             if report.armed == target or report.version == target.version:
                 waiting.discard(rank)
+            elif report.prepared != target.version or report.step >= target.step:
+                _log_kept(members, target.version, f"rank {rank} cannot be armed")
+                return False
         if not waiting:
-            break
+            return True
         await sleep(POLL_S)
-    else:
-        _log_kept(members, target.version, "not all ranks are armed; still held")
-        return False
-    released = await release(members, epoch, held, sleep)
-    events.log(
-        events.Event.MAP_DECIDED,
-        group=members.group,
-        map_version=target.version,
-        step=target.step,
-        released=released,
-        elapsed_ms=round((trio.current_time() - began_s) * 1000),
-    )
-    return released
+    _log_kept(members, target.version, "not all ranks are armed; still held")
+    return False
 
 
 async def release(
-    members: Members, epoch: int, held: dict[int, int], sleep: Sleep
+    members: Members, epoch: int, held: Mapping[int, int], sleep: Sleep
 ) -> bool:
     """Release the held step of each named rank; say whether all were."""
     waiting = dict(held)
@@ -237,73 +259,6 @@
     return False
 
 
-async def recover(members: Members, states: States, sleep: Sleep = trio.sleep) -> None:
-    """Settle what an earlier coordinator left: held steps and armed ranks."""
-    epoch = states[members.own].report.seat.epoch
-    held = {
-        rank: state.report.held
-        for rank, state in states.items()
-        if state.report.held is not None
-    }
-    armed = {state.report.armed for state in states.values() if state.report.armed}
-    events.log(
-        events.Event.MAP_RECOVERED,
-        group=members.group,
-        held=sorted(held.values()),
-        armed=sorted((one.version, one.step) for one in armed),
-    )
-    if len(armed) > 1:
-        await _disarm(members, epoch, states)
-    elif not held:
-        await _settle_armed(members, epoch, states, armed, sleep)
-    else:
-        target = _target(states, held, armed)
-        if target is None:
-            # No rank can be armed: arming begins only when all ranks are prepared.
-            await release(members, epoch, held, sleep)
-        else:
-            await _finish(members, epoch, target, held, sleep)
-
-
-def _target(states: States, held: dict[int, int], armed: set[Armed]) -> Armed | None:
-    """Return what a held group was to switch to; None when no rank can be armed."""
-    if armed:
-        return next(iter(armed))
-    prepared = {state.report.prepared for state in states.values()}
-    version = next(iter(prepared))
-    in_force = {state.report.version for state in states.values()}
-    if len(prepared) != 1 or version is None or version in in_force:
-        return None
-    return Armed(version, min(held.values()))
-
-
-async def _disarm(members: Members, epoch: int, states: States) -> None:
-    """Disarm ranks that are armed for different maps; a held step stays held."""
-    orders = {
-        rank: RankOrder(OrderKind.DISARM, epoch, version=state.report.armed.version)
-        for rank, state in states.items()
-        if state.report.armed is not None
-    }
-    await members.order(orders)
-
-
-async def _settle_armed(
-    members: Members,
-    epoch: int,
-    states: States,
-    armed: set[Armed],
-    sleep: Sleep,
-) -> None:
-    """Hold the group before an armed step unless all ranks are armed for it."""
-    if all(state.report.armed for state in states.values()):
-        return
-    target = next(iter(armed))
-    hold = RankOrder(OrderKind.HOLD, epoch, step=target.step)
-    result = (await members.order({members.own: hold}))[members.own]
-    if result.state is not None and result.state.report.held == target.step:
-        await _finish(members, epoch, target, {members.own: target.step}, sleep)
-
-
 def _log_kept(members: Members, version: int, reason: str) -> None:
     events.log(
         events.Event.MAP_KEPT,
