Begin watches of the store at least 0.15 s apart

While 64 workers and 17 entries announce themselves, each announcement ended each entry's watch: calls grow with entries times hosts.

--- a/src/mustardfront/coordination/traffic/_feed.py
+++ b/src/mustardfront/coordination/traffic/_feed.py
@@ -16,6 +16,9 @@
 # A watch returns after this time without a change, which proves the view current.
 WATCH_WAIT_S: Final = 1.0
 RETRY_S: Final = 0.2
+# Watches begin no closer together: while a fleet starts or restarts, each would bring
+# one change, and calls would grow with entries times upstreams.
+WATCH_SPACING_S: Final = 0.15
 # Announcements that lapsed during an outage return within 2 s of its end; one that is
 # still missing then belongs to an upstream that is gone.
 LAPSED_GRACE_S: Final = 1.8
@@ -103,7 +106,9 @@
     while True:
         await follower.snapshot()
         while follower.in_step:
+            next_at_s = trio.current_time() + WATCH_SPACING_S
             await follower.wait_for_changes()
+            await sleep(max(0.0, next_at_s - trio.current_time()))
         await sleep(RETRY_S if follower.lost else 0)
 
 
