Apply the cost of loading an expert to plans

Cause: the limit that a load must save LOAD_COST_REQUEST_S was computed by a method that nothing called since the planner was written, so plans made every load that lowered a layer's largest load a little. docs/expert-maps.md described the limit as if it were in force.

Ruled out: a larger share for SAVING_MIN (it bounds whole plans, not loads).

The new test fails before.

--- a/src/mustardfront/coordination/rankmaps/_lead.py
+++ b/src/mustardfront/coordination/rankmaps/_lead.py
@@ -97,11 +97,7 @@
         popularity = self._window.popularity()
         if current is None or not popularity:
             return
-        plan = plan_layers(
-            current.layers,
-            popularity,
-            PlanLimits(self._model.slots_per_rank, LOADS_MAX, self._model.loads_max),
-        )
+        plan = plan_layers(current.layers, popularity, self._limits(states))
         if not self._is_worth(plan):
             return
         load_s = plan.rank_loads_max * self._model.expert_load_s
--- a/tests/test_rankmaps.py
+++ b/tests/test_rankmaps.py
@@ -278,6 +278,24 @@
     assert group.violations == []
 
 
+@pytest.mark.parametrize(("cost_s", "is_switched"), [(0.1, True), (1000.0, False)])
+async def test_loads_must_save_what_they_cost(
+    autojump_clock, monkeypatch, cost_s, is_switched
+):
+    """Guards against a cost of loads that no plan takes into account."""
+    monkeypatch.setattr(
+        "mustardfront.coordination.rankmaps._lead.LOAD_COST_REQUEST_S", cost_s
+    )
+    group = FakeGroup(12)
+    desks = FakeDesks(group)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(group.run)
+        nursery.start_soon(leader(desks, 0, "a").run)
+        await trio.sleep(4)
+        nursery.cancel_scope.cancel()
+    assert bool(group.switched) is is_switched
+
+
 async def test_a_late_hold_is_released(autojump_clock):
     """Guards against a hold that is carried out after its switch was given up."""
     group = FakeGroup(5)
