--- a/src/mustardfront/state/_traffic.py
+++ b/src/mustardfront/state/_traffic.py
@@ -56,19 +56,14 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineModel:
-    """How an engine spends its time; times in milliseconds.
+    """How an engine spreads experts.
 
-    A pass costs ``step_ms`` and ``sequence_ms`` for each running request. ``layers``
-    sets of ``experts`` experts are spread over a group's ranks, ``slots_per_rank``
-    in each set; a rank loads at most ``loads_max`` new ones of a set in one change.
+    ``layers`` sets of ``experts`` experts are spread over a group's ranks,
+    ``slots_per_rank`` in each set; a rank loads at most ``loads_max`` new ones of a set
+    in one change and takes ``expert_load_s`` for each. ``expert_share`` is the share of
+    a step that goes to experts.
     """
 
-    slots: int
-    step_ms: float
-    sequence_ms: float
-    tokens_per_event: int
-    prefill_tokens_per_ms: float
-    stall_ms: float = 0.0
     layers: int = 0
     experts: int = 0
     slots_per_rank: int = 0
--- a/tests/test_rankmaps.py
+++ b/tests/test_rankmaps.py
@@ -21,11 +21,6 @@
 from mustardfront.state import EngineModel
 
 MODEL = EngineModel(
-    slots=6,
-    step_ms=5,
-    sequence_ms=1,
-    tokens_per_event=6,
-    prefill_tokens_per_ms=70,
     layers=LAYERS,
     experts=EXPERTS,
     slots_per_rank=SLOTS,
