Break links between entries and sidecars in the fault soak

Change: a loopback proxy before each sidecar delays, resets, cuts one way or silences its connections; the four faults mix with the others. A cut holds bytes back, as lost packets do; dropping them would be no fault of a network.

Ruled out: proxies before entries: a caller's reset connection could not be told from an orderly shutdown that cuts requests off, which the soak checks.

--- a/src/mustardfront_standins/torture/__main__.py
+++ b/src/mustardfront_standins/torture/__main__.py
@@ -5,6 +5,7 @@
 import random
 import sys
 from collections import Counter
+from collections.abc import Callable, Mapping
 
 import click
 import trio
@@ -13,11 +14,12 @@
 from mustardfront_standins.caller import Caller
 from mustardfront_standins.deployments import NETZWERK, UpstreamPlan, first_ticket
 from mustardfront_standins.fleet import Fleet
-from mustardfront_standins.system import start_system
+from mustardfront_standins.system import System, start_system
 from mustardfront_standins.torture._broken import KINDS, launcher_of
 from mustardfront_standins.torture._faults import Faults
 from mustardfront_standins.torture._history import History, read_runs, violations
 from mustardfront_standins.torture._load import run_callers
+from mustardfront_standins.torture._proxy import Link, open_links
 
 # Time after the last fault for requests to end and tickets to be in force.
 _SETTLE_S = 12.0
@@ -58,37 +60,61 @@
             system = await start_system(
                 fleet, plans, 2, upstream_args, launcher_of(broken)
             )
-            await system.submit(
-                first_ticket((NETZWERK,), plans, system.sidecar_addresses)
-            )
-            if not await system.in_force_everywhere(1, 12.0):
-                return ["ticket 1 was not in force everywhere in 12 s"]
-            stop_s = trio.current_time() + seconds
-            faults = Faults(system, history, random.Random(seed), upstream_args)
-
-            def stopped() -> bool:
-                return trio.current_time() >= stop_s
-
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(faults.run, stopped)
-                nursery.start_soon(
-                    run_callers, system, caller, history, seed, callers, stopped
+            async with open_links(system.sidecar_addresses) as links:
+                late = await _play(
+                    system,
+                    caller,
+                    history,
+                    links,
+                    upstream_args,
+                    seed,
+                    seconds,
+                    callers,
                 )
-            await system.control_kv(outage="", delay_ms=0, lose_answers=0)
-            last = max(history.accepted, default=1)
-            settled = await system.in_force_everywhere(last, _SETTLE_S)
         for name, process in system.programs():
             history.versions[f"{name}/{process.pid}"] = process.versions()
         logs = [fleet.folder / f"{plan.name}.runs" for plan in plans]
         runs = read_runs(logs)
-    _print_counts(history, faults.counts, runs)
-    late = [] if settled else [f"version {last} was not in force in {_SETTLE_S} s"]
+    _print_counts(history, runs)
     return late + violations(history, runs)
 
 
-def _print_counts(history: History, faults: Counter[str], runs: Counter[str]) -> None:
-    for kind, count in sorted(faults.items()):
+async def _play(
+    system: System,
+    caller: Caller,
+    history: History,
+    links: Mapping[str, Link],
+    upstream_args: Callable[[UpstreamPlan], tuple[str, ...]],
+    seed: int,
+    seconds: float,
+    callers: int,
+) -> list[str]:
+    """Let callers send while faults happen; return which version came too late."""
+    addresses = {name: link.address for name, link in links.items()}
+    await system.submit(first_ticket((NETZWERK,), system.plans, addresses))
+    if not await system.in_force_everywhere(1, _SETTLE_S):
+        return [f"ticket 1 was not in force everywhere in {_SETTLE_S} s"]
+    stop_s = trio.current_time() + seconds
+    faults = Faults(system, history, random.Random(seed), upstream_args, links)
+
+    def stopped() -> bool:
+        return trio.current_time() >= stop_s
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(faults.run, stopped)
+        nursery.start_soon(run_callers, system, caller, history, seed, callers, stopped)
+    for link in links.values():
+        link.restore()
+    await system.control_kv(outage="", delay_ms=0, lose_answers=0)
+    for kind, count in sorted(faults.counts.items()):
         click.echo(f"  {kind:<24} {count}")
+    last = max(history.accepted, default=1)
+    if await system.in_force_everywhere(last, _SETTLE_S):
+        return []
+    return [f"version {last} was not in force in {_SETTLE_S} s"]
+
+
+def _print_counts(history: History, runs: Counter[str]) -> None:
     for title, sent in (
         ("streams", history.streams),
         ("bookings sent", history.bookings),
--- a/src/mustardfront_standins/torture/_faults.py
+++ b/src/mustardfront_standins/torture/_faults.py
@@ -1,11 +1,11 @@
-"""Kills, freezes, outages, lost answers, tickets and orderly restarts."""
+"""Kills, freezes, outages, broken links, tickets and orderly restarts."""
 
 from __future__ import annotations
 
 import random
 import signal
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Final
 
 import trio
@@ -14,12 +14,16 @@
 from mustardfront_standins.fleet import FleetProcess
 from mustardfront_standins.system import System
 from mustardfront_standins.torture._history import History
+from mustardfront_standins.torture._proxy import Link
 
 _SUBMIT_TRIES: Final = 6
 
 
 class Faults:
-    """Makes one random fault after another and counts them by kind."""
+    """Makes one random fault after another and counts them by kind.
+
+    ``links`` are the proxies between entries and sidecars, by upstream.
+    """
 
     def __init__(
         self,
@@ -27,12 +31,14 @@
         history: History,
         rng: random.Random,
         upstream_args: Callable[[UpstreamPlan], tuple[str, ...]],
+        links: Mapping[str, Link],
     ) -> None:
         self.counts: Counter[str] = Counter()
         self._system = system
         self._history = history
         self._rng = rng
         self._upstream_args = upstream_args
+        self._links = links
         self._ticket = 1
         self._restarting: set[int] = set()
         self._starting: set[str] = set()
@@ -49,6 +55,10 @@
             "store slow": self._store_slow,
             "store answers lost": self._store_lost_answers,
             "host drained and back": self._drain,
+            "link delayed": self._delay_link,
+            "link reset": self._reset_link,
+            "link cut one way": self._cut_link_one_way,
+            "link silenced": self._silence_link,
         }
 
     async def run(self, stopped: Callable[[], bool]) -> None:
@@ -161,6 +171,30 @@
     async def _store_lost_answers(self) -> None:
         await self._system.control_kv(lose_answers=self._rng.randint(1, 3))
 
+    def _link(self) -> Link:
+        return self._links[self._rng.choice(sorted(self._links))]
+
+    async def _delay_link(self) -> None:
+        link = self._link()
+        link.delay_s = self._rng.uniform(0.02, 0.5)
+        await trio.sleep(self._rng.uniform(0.5, 4.0))
+        link.restore()
+
+    async def _reset_link(self) -> None:
+        self._link().reset()
+
+    async def _cut_link_one_way(self) -> None:
+        await self._cut_link(self._rng.choice(["up", "down"]))
+
+    async def _silence_link(self) -> None:
+        await self._cut_link("up", "down")
+
+    async def _cut_link(self, *directions: str) -> None:
+        link = self._link()
+        link.cut(*directions)
+        await trio.sleep(self._rng.uniform(0.2, 10.0))
+        link.restore()
+
     async def _drain(self) -> None:
         plan = self._plan()
         for state in ("draining", "active"):
