Compress orders only for peers of protocol version 3

Cause: found by reading: orders were compressed for every peer, and an agent of the version before reads them as JSON, so a group whose agents are upgraded one by one would have had no coordinator that its older agents understand.

Ruled out: guessing from the first byte (an older peer cannot).

Before: the new test finds compressed data for a peer of version 2. After: plain data for versions below 3; the peers' handshake agrees on the version as it did for chunks. Left: a coordinator of the earlier version ends its term on counts of a newer agent (another length), so maps stay as they are until all agents are upgraded.

--- a/src/mustardfront/constants.py
+++ b/src/mustardfront/constants.py
@@ -6,12 +6,14 @@
 
 # Configuration snapshots are sent in pieces, so one frame never needs more.
 FRAME_MAX_BYTES: Final = 4 * 1024 * 1024
-PROTOCOL_VERSION: Final = 2
+PROTOCOL_VERSION: Final = 3
 PROTOCOL_VERSION_MIN: Final = 1
 # Peers of this version or newer take many chunks in one message.
 CHUNKS_VERSION: Final = 2
 # Such a message holds at most so much data, unless a single chunk has more.
 CHUNKS_MAX_BYTES: Final = 64 * 1024
+# Peers of this version or newer take orders and replies with compressed data.
+PACKED_VERSION: Final = 3
 HANDSHAKE_TIMEOUT_S: Final = 5.0
 CONNECT_TIMEOUT_S: Final = 2.0
 SEND_QUEUE_MESSAGES: Final = 512
--- a/src/mustardfront/protocol/_codec.py
+++ b/src/mustardfront/protocol/_codec.py
@@ -11,6 +11,7 @@
 import capnp
 
 from mustardfront.codes import Code
+from mustardfront.constants import PACKED_VERSION, PROTOCOL_VERSION
 from mustardfront.protocol._messages import Chunk, Message, Order, OrderReply
 from mustardfront.results import Err, Ok, Result
 
@@ -47,8 +48,8 @@
 _FASTEST: Final = 1
 
 
-def encode(message: Message) -> bytes:
-    """Return the bytes of one message."""
+def encode(message: Message, version: int = PROTOCOL_VERSION) -> bytes:
+    """Return the bytes of one message to a peer of a protocol version."""
     kind = type(message)
     envelope = _schema.Envelope.new_message()
     body = envelope.init(_TAGS[kind])
@@ -62,7 +63,8 @@
         elif name in _LIST_FIELDS:
             setattr(body, wire_name, list(value))
         elif kind in _PACKED_KINDS and name == "data":
-            body.packed = len(value) >= _PACKED_MIN_BYTES
+            is_long = len(value) >= _PACKED_MIN_BYTES
+            body.packed = is_long and version >= PACKED_VERSION
             body.data = zlib.compress(value, _FASTEST) if body.packed else value
         else:
             setattr(body, wire_name, value)
--- a/src/mustardfront/protocol/_peer.py
+++ b/src/mustardfront/protocol/_peer.py
@@ -259,13 +259,13 @@
     """
     try:
         if version >= CHUNKS_VERSION:
-            return _encode_together(messages)
-        return [encode(message) for message in messages]
+            return _encode_together(messages, version)
+        return [encode(message, version) for message in messages]
     except ENCODE_ERRORS:
         payloads: list[bytes] = []
         for message in messages:
             try:
-                payloads.append(encode(message))
+                payloads.append(encode(message, version))
             except ENCODE_ERRORS as exc:
                 kind = type(message).__name__
                 text = f"a {kind} cannot be encoded: {str(exc)[:200]}"
@@ -273,7 +273,7 @@
         return payloads
 
 
-def _encode_together(messages: Iterable[Message]) -> list[bytes]:
+def _encode_together(messages: Iterable[Message], version: int) -> list[bytes]:
     """Encode messages in order, with the chunks that follow each other as one."""
     payloads: list[bytes] = []
     chunks: list[Chunk] = []
@@ -289,7 +289,7 @@
             chunks.append(message)
             size += len(message.data)
         else:
-            payloads.append(encode(message))
+            payloads.append(encode(message, version))
     if chunks:
         payloads.append(encode_chunks(chunks))
     return payloads
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -262,6 +262,12 @@
     assert len(encode(OrderReply(1, 200, counts))) < len(counts) / 4
 
 
+def test_older_peers_get_plain_orders():
+    """Guards an upgrade in which agents of both versions work in one group."""
+    data = b"[" + b"1," * 800 + b"1]"
+    assert data in encode(Order(1, "g", "order", 2, data), PROTOCOL_VERSION - 1)
+
+
 def test_compressed_data_has_a_limit():
     """Guards against a small message that takes all memory."""
     message = decode(encode(Order(1, "g", "state", 2, bytes(5_000_000))))
