Forget an upstream when another one answers in its place

Cause: test_a_replaced_upstream_is_asked_once failed once beside heavy load.

Ruled out: load as the cause (waiting out the pause fails every time on the old code).

Change: a 421 in another upstream's name forgets the one that was expected; a 421 in its own name, or in none, only pauses it, as the upstream may be alive. The test waits longer than the pause and announces the ended one again; a new test guards the living one.

--- a/src/mustardfront/programs/gateway/_attempt.py
+++ b/src/mustardfront/programs/gateway/_attempt.py
@@ -120,7 +120,7 @@
         except _BROKEN as exc:
             return Broken(Code.STREAM_CUT, f"no answer: {type(exc).__name__} {exc}")
         try:
-            return await _read(dialect, req, response, reply, progress)
+            return await _read(dialect, upstream, req, response, reply, progress)
         except _BROKEN as exc:
             return Broken(Code.STREAM_CUT, f"cut: {type(exc).__name__} {exc}")
         finally:
@@ -161,6 +161,7 @@
 
 async def _read(
     dialect: Dialect,
+    upstream: Upstream,
     req: GatewayRequest,
     response: httpcore.Response,
     reply: Reply,
@@ -168,7 +169,7 @@
 ) -> AttemptResult:
     headers = tuple((name.lower(), value) for name, value in response.headers)
     fields = dict(headers)
-    refused = _refusal(dialect, response.status, fields)
+    refused = _refusal(dialect, upstream, response.status, fields)
     if refused is not None:
         return refused
     echoed = fields.get(dialect.request_id)
@@ -187,14 +188,16 @@
 
 
 def _refusal(
-    dialect: Dialect, status: int, fields: dict[bytes, bytes]
+    dialect: Dialect, upstream: Upstream, status: int, fields: dict[bytes, bytes]
 ) -> AttemptResult | None:
     """Return what an answer without a run says, or None for an answer of a run."""
     at_fault = fields.get(dialect.at_fault, b"").decode("latin-1")
     if status == 421:
-        if dialect.instance in fields or not at_fault:
-            return NotRun(Code.UPSTREAM_REPLACED, "another upstream is there", True)
-        return NotRun(Code.UPSTREAM_LIMIT, "a rank is at fault", True, at_fault)
+        named = fields.get(dialect.instance, b"").decode("latin-1")
+        if named not in ("", upstream.instance):
+            text = f"{named} is at its address"
+            return NotRun(Code.UPSTREAM_REPLACED, text, arrived=True)
+        return NotRun(Code.UPSTREAM_LIMIT, "refused with 421", True, at_fault)
     if dialect.not_run in fields:
         text = f"refused with {status}"
         return NotRun(Code.UPSTREAM_LIMIT, text, True, at_fault)
--- a/src/mustardfront/programs/gateway/_forward.py
+++ b/src/mustardfront/programs/gateway/_forward.py
@@ -249,6 +249,8 @@
         tries.code, tries.text = result.code, result.text
     if isinstance(result, Whole | Streamed):
         fwd.state.succeeded(upstream)
+    elif misdirected:
+        fwd.state.ended(upstream)
     elif isinstance(result, Broken) or result.code is Code.UPSTREAM_DOWN:
         fwd.state.failed(upstream, result.text)
     else:
