Split the tests of the gateway and of expert map switches

Streams through a gateway, and what a coordinator makes of a group that was left held, have files of their own; what both files of ranks need stands with their fakes. Ruled out: nothing. Conclusion: no behaviour changes.

--- a/tests/rank_fakes.py
+++ b/tests/rank_fakes.py
@@ -15,6 +15,8 @@
     ASK_STATE,
     Armed,
     HeldMaps,
+    Leader,
+    LoadWindow,
     Members,
     OrderKind,
     OrderOutcome,
@@ -24,11 +26,30 @@
 )
 from mustardfront.protocol import Order
 from mustardfront.results import Err, Ok
-from mustardfront.state import RankSeat
+from mustardfront.state import EngineModel, RankSeat
 
 LAYERS, EXPERTS, RANKS, SLOTS = 2, 8, 4, 4
 PASS_S = 0.05
 LOAD_S = 0.2
+MODEL = EngineModel(
+    layers=LAYERS,
+    experts=EXPERTS,
+    slots_per_rank=SLOTS,
+    loads_max=4,
+    expert_load_s=0.05,
+    expert_share=0.85,
+)
+SPREAD = tuple(
+    tuple(
+        tuple(
+            sorted(
+                {expert for expert in range(EXPERTS) if expert % RANKS == rank} | {0}
+            )
+        )
+        for rank in range(RANKS)
+    )
+    for _ in range(LAYERS)
+)
 
 
 @dataclass
@@ -257,4 +278,8 @@
         return answers
 
 
-__all__ = ["ASK_ORDER", "ASK_STATE", "Callable", "FakeDesks", "FakeGroup"]
+def leader(desks: FakeDesks, own: int, holder: str) -> Leader:
+    return Leader(desks.members(own, holder), MODEL, desks.port_of, LoadWindow(EXPERTS))
+
+
+__all__ = ["ASK_ORDER", "ASK_STATE", "Callable", "FakeDesks", "FakeGroup", "leader"]
