Share the set-up of the tests of left-over holds

Cause: four tests repeated how a group gets to a prepared map. Ruled out: sharing it with the test of a silent agent too, which starts a coordinator of its own. Conclusion: no behaviour changes.

--- a/tests/test_rankmaps_recover.py
+++ b/tests/test_rankmaps_recover.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from contextlib import asynccontextmanager
+
 import pytest
 import trio
 from tests.rank_fakes import RANKS, SPREAD, FakeDesks, FakeGroup, leader
@@ -54,6 +56,19 @@
         assert group.carry_out(rank, order)
 
 
+@asynccontextmanager
+async def prepared_group(seed: int):
+    """Run a group in which all ranks have prepared a map, and yield a step ahead."""
+    group = FakeGroup(seed)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(group.run)
+        await trio.sleep(0.2)
+        prepared(group, 1 << 24)
+        await trio.sleep(0.5)
+        yield group, FakeDesks(group), group.step + 2
+        nursery.cancel_scope.cancel()
+
+
 async def settle(desks: FakeDesks) -> None:
     """Let the agent of rank 1 settle the group."""
     members = desks.members(1, "b")
@@ -66,65 +81,42 @@
     autojump_clock,
 ):
     """Guards against two maps: the order arrives between the release and the step."""
-    group = FakeGroup(7)
-    desks = FakeDesks(group)
-    carry_out = group.carry_out
+    async with prepared_group(7) as (group, desks, step):
+        carry_out = group.carry_out
+        late = RankOrder(OrderKind.ARM, 1, version=1 << 24, step=step)
 
-    def with_late_arm(rank: int, order: RankOrder) -> bool:
-        done = carry_out(rank, order)
-        if order.kind is OrderKind.RELEASE:
-            carry_out(3, late)
-        return done
+        def with_late_arm(rank: int, order: RankOrder) -> bool:
+            done = carry_out(rank, order)
+            if order.kind is OrderKind.RELEASE:
+                carry_out(3, late)
+            return done
 
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(group.run)
-        await trio.sleep(0.2)
-        prepared(group, 1 << 24)
-        await trio.sleep(0.5)
-        step = group.step + 2
-        late = RankOrder(OrderKind.ARM, 1, version=1 << 24, step=step)
         carry_out(0, RankOrder(OrderKind.HOLD, 1, step=step))
         prepared(group, 2 << 24, ranks=(0, 1))
         await trio.sleep(0.5)
         group.carry_out = with_late_arm
         await settle(desks)
         await trio.sleep(0.5)
-        nursery.cancel_scope.cancel()
     assert group.step > step
     assert group.violations == []
 
 
 async def test_a_version_that_one_rank_replaced_is_disarmed(autojump_clock):
     """Guards against a group that stays held for a map it can no longer switch to."""
-    group = FakeGroup(8)
-    desks = FakeDesks(group)
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(group.run)
-        await trio.sleep(0.2)
-        prepared(group, 1 << 24)
-        await trio.sleep(0.5)
-        step = group.step + 2
+    async with prepared_group(8) as (group, desks, step):
         group.carry_out(0, RankOrder(OrderKind.HOLD, 1, step=step))
         group.carry_out(3, RankOrder(OrderKind.ARM, 1, version=1 << 24, step=step))
         prepared(group, 2 << 24, ranks=(0, 1, 2))
         await trio.sleep(0.5)
         await settle(desks)
         await trio.sleep(0.5)
-        nursery.cancel_scope.cancel()
     assert group.step > step
     assert group.violations == []
 
 
 async def test_a_step_beyond_the_switch_stays_held(autojump_clock):
     """Guards against a late release that frees a later switch before all are armed."""
-    group = FakeGroup(9)
-    desks = FakeDesks(group)
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(group.run)
-        await trio.sleep(0.2)
-        prepared(group, 1 << 24)
-        await trio.sleep(0.5)
-        step = group.step + 2
+    async with prepared_group(9) as (group, desks, step):
         group.carry_out(0, RankOrder(OrderKind.HOLD, 1, step=step))
         for rank in range(RANKS):
             arm = RankOrder(OrderKind.ARM, 1, version=1 << 24, step=step)
@@ -135,21 +127,13 @@
         assert (group.step, group.ranks[2].held) == (step + 2, step + 3)
         await settle(desks)
         await trio.sleep(0.5)
-        nursery.cancel_scope.cancel()
     assert group.step > step + 3
     assert group.violations == []
 
 
 async def test_two_holds_never_give_one_version_two_steps(autojump_clock):
     """Guards against an order to arm for the first of two held steps that is late."""
-    group = FakeGroup(10)
-    desks = FakeDesks(group)
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(group.run)
-        await trio.sleep(0.2)
-        prepared(group, 1 << 24)
-        await trio.sleep(0.5)
-        step = group.step + 2
+    async with prepared_group(10) as (group, desks, step):
         group.carry_out(0, RankOrder(OrderKind.HOLD, 1, step=step + 1))
         group.carry_out(2, RankOrder(OrderKind.HOLD, 1, step=step))
         await settle(desks)
@@ -158,7 +142,6 @@
             for order in group.carried_out
             if order.kind is OrderKind.ARM and order.version == 1 << 24
         }
-        nursery.cancel_scope.cancel()
     assert steps == set()
 
 
