Log why an upstream closed a connection early

The logs could not tell a crash from a group's stall or a broken connection, and no line named the prompt parts of a request. ATTEMPT_CLOSED (316) gives the shared parts, the events that had arrived, and whether a process still listens there.

--- a/src/mustardfront/programs/gateway/_attempt.py
+++ b/src/mustardfront/programs/gateway/_attempt.py
@@ -64,10 +64,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Failed:
-    """An attempt without a valid, complete response; the request may have run."""
+    """An attempt without a valid, complete response; the request may have run.
+
+    ``connection_closed`` tells that the upstream's end closed the connection early.
+    """
 
     code: Code
     text: str
+    connection_closed: bool = False
 
 
 AttemptResult: TypeAlias = FullResponse | Streamed | NotRun | Failed
@@ -138,6 +142,7 @@
             return Failed(
                 Code.STREAM_CUT,
                 f"no response from the upstream: {type(exc).__name__} {exc}",
+                connection_closed=True,
             )
         backend.end_head()
         try:
@@ -146,7 +151,9 @@
             )
         except _TRANSPORT_ERRORS as exc:
             return Failed(
-                Code.STREAM_CUT, f"response interrupted: {type(exc).__name__} {exc}"
+                Code.STREAM_CUT,
+                f"response interrupted: {type(exc).__name__} {exc}",
+                connection_closed=True,
             )
         finally:
             with trio.CancelScope(shield=True):
@@ -292,7 +299,9 @@
             await writer.send_chunk(b"".join([event.data for event in complete]))
     if splitter.incomplete_bytes:
         # The caller must not take a stream that broke off as complete.
-        return Failed(Code.STREAM_CUT, "the stream ended inside an event")
+        return Failed(
+            Code.STREAM_CUT, "the stream ended inside an event", connection_closed=True
+        )
     with trio.CancelScope(shield=True):
         if not writer.started:
             await writer.start_stream(response.status, headers)
--- a/src/mustardfront/programs/gateway/_forward.py
+++ b/src/mustardfront/programs/gateway/_forward.py
@@ -31,6 +31,7 @@
     StreamProgress,
     run_attempt,
 )
+from mustardfront.programs.gateway._crash import is_listening
 from mustardfront.programs.gateway._header_names import HeaderNames
 from mustardfront.programs.gateway._held import HeldBytes, Hold
 from mustardfront.programs.gateway._reply import ResponseWriter
@@ -252,9 +253,31 @@
     if isinstance(result, NotRun):
         retry.may_have_run = may_have_run_before
     _record_result(fwd, upstream, result, retry)
+    if isinstance(result, Failed) and result.connection_closed:
+        await _log_closed_attempt(
+            req, upstream, progress.event_count - events_before, started_at
+        )
     return result
 
 
+async def _log_closed_attempt(
+    req: GatewayRequest, upstream: Upstream, event_count: int, started_at: float
+) -> None:
+    """Log what distinguishes a crash of the upstream from a connection that broke."""
+    elapsed_s = trio.current_time() - started_at
+    listens = await is_listening(upstream.announced.address)
+    events.log(
+        events.Event.ATTEMPT_CLOSED,
+        request_id=req.request_id,
+        upstream=upstream.instance,
+        group=upstream.group,
+        shared_parts=req.shared_parts,
+        stream_events=event_count,
+        elapsed_ms=round(elapsed_s * 1000),
+        listens=listens,
+    )
+
+
 async def _cancel_if_silent(
     fwd: Forwarder,
     req: GatewayRequest,
--- a/src/mustardfront/programs/gateway/_header_names.py
+++ b/src/mustardfront/programs/gateway/_header_names.py
@@ -12,7 +12,8 @@
     ``instance`` is set by an upstream that receives a request for another instance.
     ``answer_seal`` is set on each successful response of an upstream. ``not_run``
     marks a response that proves that the request did not run. ``at_fault`` names the
-    upstream that caused a failure.
+    upstream that caused a failure. ``prompt_parts`` lists the parts of a prompt in
+    order, as ID:TOKENS entries separated by commas.
     """
 
     request_id: bytes = b"x-request-id"
@@ -26,4 +27,5 @@
     at_fault: bytes = b"x-at-fault"
     last_event_id: bytes = b"last-event-id"
     token_counts: bytes = b"x-token-counts"
+    prompt_parts: bytes = b"x-prompt-parts"
     key_scheme: str = "Bearer"
--- a/src/mustardfront/programs/gateway/_request.py
+++ b/src/mustardfront/programs/gateway/_request.py
@@ -43,6 +43,7 @@
     ``headers`` are the headers to forward. ``deadline_at`` is the earlier of the
     caller's deadline and the route's timeout. ``api_key`` is empty for an
     anonymous request. The token counts are 0 if the caller does not send them.
+    ``shared_parts`` are the IDs of the prompt's parts that other requests may share.
     """
 
     request_id: str
@@ -61,6 +62,7 @@
     config_version: int
     prompt_tokens: int
     max_output_tokens: int
+    shared_parts: tuple[str, ...] = ()
 
 
 def read_request(
@@ -107,6 +109,7 @@
             config_version=state.version,
             prompt_tokens=prompt,
             max_output_tokens=max_output,
+            shared_parts=_shared_parts(headers.get(header_names.prompt_parts, b"")),
         )
     )
 
@@ -161,6 +164,13 @@
         return 0, 0
 
 
+def _shared_parts(value: bytes) -> tuple[str, ...]:
+    """Return the IDs of all parts but the last, which is the request's own."""
+    parts = value.decode("latin-1").split(",")[:-1]
+    ids = (part.partition(":")[0].strip() for part in parts)
+    return tuple(dict.fromkeys(part_id for part_id in ids if part_id))
+
+
 def _forwarded_headers(
     headers: Iterable[tuple[bytes, bytes]], header_names: HeaderNames
 ) -> RawHeaders:
