Refuse requests with content that crashes upstreams

The gateway had no quarantine; that of the entry and sidecar knows whole requests only, not content that differs each time. Class of the fault: evidence that each process keeps to itself and that nobody collects.

An entry whose attempt was closed before its first output checks whether the upstream still listens. If not, it reports the request's fingerprint and shared parts to the store under a lease of 10 min, which all entries watch and which a restarted one reads. Each entry infers the held content: a request or part at two crashes without output in between; a part that had output before needs four at two times; the part with most crashes explains them, so parts beside it stay free. A request with unproven parts is not retried after a crash.

--- a/src/mustardfront/coordination/quarantine/__init__.py
+++ b/src/mustardfront/coordination/quarantine/__init__.py
@@ -1,9 +1,22 @@
-"""Quarantine of requests that crash upstreams: held after a second crash."""
+"""Quarantine of request content that crashes upstreams."""
 
-from mustardfront.coordination.quarantine._quarantine import Quarantine
+from mustardfront.coordination.quarantine._evidence import (
+    CrashEvidence,
+    CrashReport,
+    RequestContent,
+)
+from mustardfront.coordination.quarantine._quarantine import CRASH_TTL_S, Quarantine
 from mustardfront.coordination.quarantine._suspects import (
     CrashSuspect,
     blamed_fingerprints,
 )
 
-__all__ = ["CrashSuspect", "Quarantine", "blamed_fingerprints"]
+__all__ = [
+    "CRASH_TTL_S",
+    "CrashEvidence",
+    "CrashReport",
+    "CrashSuspect",
+    "Quarantine",
+    "RequestContent",
+    "blamed_fingerprints",
+]
--- a/src/mustardfront/coordination/traffic/_feed.py
+++ b/src/mustardfront/coordination/traffic/_feed.py
@@ -10,6 +10,7 @@
 
 from mustardfront import events
 from mustardfront.codes import Code
+from mustardfront.coordination.quarantine import CrashReport
 from mustardfront.results import Err, Result
 from mustardfront.state import TrafficConfig, UpstreamInstance
 
@@ -44,6 +45,8 @@
     upstreams: Mapping[str, UpstreamInstance]
     entries: frozenset[str] = frozenset()
     slow: tuple[SlowUpstream, ...] = ()
+    # Oldest first.
+    crashes: tuple[CrashReport, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +77,12 @@
 
 
 Change: TypeAlias = (
-    TrafficConfig | UpstreamInstance | UpstreamGone | EntryChange | SlowUpstream
+    TrafficConfig
+    | UpstreamInstance
+    | UpstreamGone
+    | EntryChange
+    | SlowUpstream
+    | CrashReport
 )
 
 
@@ -101,6 +109,9 @@
     async def renew_lease(self, lease: int) -> Result[None]:
         """Renew a lease; Err(LEASE_LOST) when it has ended."""
 
+    async def report_crash(self, report: CrashReport, ttl_s: float) -> Result[int]:
+        """Tell the other entries of a crash, and return the report's lease."""
+
 
 class TrafficView(Protocol):
     """The view that ``follow`` keeps current."""
--- a/src/mustardfront/coordination/traffic/_upstreams.py
+++ b/src/mustardfront/coordination/traffic/_upstreams.py
@@ -9,6 +9,7 @@
 import trio
 
 from mustardfront import events
+from mustardfront.coordination.quarantine import CrashEvidence, CrashReport
 from mustardfront.coordination.traffic._feed import (
     Change,
     EntryChange,
@@ -86,6 +87,7 @@
         # By address; an agent knows the upstream on its host by its address.
         self._slowness: dict[tuple[str, int], float] = {}
         self._listeners: list[Callable[[], None]] = []
+        self.crash_evidence = CrashEvidence(clock)
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after each change of the configuration or upstreams."""
@@ -116,6 +118,8 @@
             self._apply_config(snapshot.config)
         self.entries = snapshot.entries
         self._slowness = {one.address: one.slowness for one in snapshot.slow}
+        for report in snapshot.crashes:
+            self.crash_evidence.record_crash(report)
         for announced in snapshot.upstreams.values():
             self._apply_announcement(announced)
         for instance in self._upstreams.keys() - snapshot.upstreams.keys():
@@ -127,6 +131,9 @@
         if isinstance(change, SlowUpstream):
             self._apply_slowness(change)
             return
+        if isinstance(change, CrashReport):
+            self.crash_evidence.record_crash(change)
+            return
         if isinstance(change, TrafficConfig):
             self._apply_config(change)
         elif isinstance(change, EntryChange):
--- a/src/mustardfront/programs/gateway/_forward.py
+++ b/src/mustardfront/programs/gateway/_forward.py
@@ -31,7 +31,7 @@
     StreamProgress,
     run_attempt,
 )
-from mustardfront.programs.gateway._crash import is_listening
+from mustardfront.programs.gateway._crash import CrashReporter, is_listening
 from mustardfront.programs.gateway._header_names import HeaderNames
 from mustardfront.programs.gateway._held import HeldBytes, Hold
 from mustardfront.programs.gateway._reply import ResponseWriter
@@ -79,6 +79,7 @@
     place: str
     budget_of: Callable[[str], RetryBudget]
     is_view_unconfirmed: Callable[[], bool]
+    crash_reporter: CrashReporter
     # The upstreams of a service that are assigned to this entry.
     own_upstreams: Callable[[str], frozenset[str]] = lambda service: frozenset()
     first_event_times: FirstEventTimes = field(default_factory=FirstEventTimes)
@@ -99,6 +100,8 @@
     may_have_run: bool = False
     # Whether the retry budget was already charged for the next attempt.
     is_budget_charged: bool = False
+    # A part of the prompt was at a crash and is not known to be sound.
+    may_crash_another: bool = False
     upstream: str = ""
     code: Code = Code.NO_CAPABLE_UPSTREAM
     text: str = "no upstream of the service is available"
@@ -115,7 +118,7 @@
             return await _run_attempts(fwd, req, writer, retry, progress, hold)
     # The error is sent outside the cancel scope: the time limit must not cut it off.
     retry.code, retry.text = Code.DEADLINE_PASSED, "no response within the time limit"
-    return await _finish_with_error(writer, retry)
+    return await _finish_with_error(fwd, writer, retry)
 
 
 async def _run_attempts(
@@ -150,7 +153,7 @@
             last_response.status, last_response.headers, last_response.body
         )
         return _answered(retry, last_response.status)
-    return await _finish_with_error(writer, retry)
+    return await _finish_with_error(fwd, writer, retry)
 
 
 async def _wait_for_upstream(
@@ -165,12 +168,29 @@
             retry.code = Code.VIEW_UNCONFIRMED
             retry.text = "the configuration store is unreachable"
             return None
+        held = fwd.state.crash_evidence.held_content(req.content)
+        if held is not None:
+            _refuse_held(req, retry, held)
+            return None
         chosen = _choose_upstream(fwd, req, retry)
         if chosen is not None or trio.current_time() >= wait_ends_at:
             return chosen
         await trio.sleep(UPSTREAM_POLL_S)
 
 
+def _refuse_held(req: GatewayRequest, retry: _RetryState, held: str) -> None:
+    retry.code = Code.REQUEST_HELD
+    retry.text = "this request, or a part of its prompt, crashed upstreams"
+    events.log(
+        events.Event.REQUEST_HELD,
+        request_id=req.request_id,
+        service=req.service,
+        team=req.team,
+        content=held,
+        attempt=retry.attempts_sent + 1,
+    )
+
+
 def _choose_upstream(
     fwd: Forwarder, req: GatewayRequest, retry: _RetryState
 ) -> Upstream | None:
@@ -226,7 +246,12 @@
     upstream.in_flight += 1
     group = upstream.group
     attempt = fwd.pace.start(group)
-    progress.begin_attempt(lambda: fwd.pace.record_first_event(group, attempt))
+
+    def on_first_event() -> None:
+        fwd.pace.record_first_event(group, attempt)
+        fwd.state.crash_evidence.record_success(req.content)
+
+    progress.begin_attempt(on_first_event)
     started_at, events_before = trio.current_time(), progress.event_count
     result: AttemptResult = Failed(
         Code.UPSTREAM_TIMEOUT, "the upstream sent nothing within the silence limit"
@@ -252,18 +277,27 @@
         )
     if isinstance(result, NotRun):
         retry.may_have_run = may_have_run_before
+    if isinstance(result, FullResponse):
+        fwd.state.crash_evidence.record_success(req.content)
     _record_result(fwd, upstream, result, retry)
     if isinstance(result, Failed) and result.connection_closed:
-        await _log_closed_attempt(
-            req, upstream, progress.event_count - events_before, started_at
-        )
+        event_count = progress.event_count - events_before
+        await _record_closed_attempt(fwd, req, upstream, retry, event_count, started_at)
     return result
 
 
-async def _log_closed_attempt(
-    req: GatewayRequest, upstream: Upstream, event_count: int, started_at: float
+async def _record_closed_attempt(
+    fwd: Forwarder,
+    req: GatewayRequest,
+    upstream: Upstream,
+    retry: _RetryState,
+    event_count: int,
+    started_at: float,
 ) -> None:
-    """Log what distinguishes a crash of the upstream from a connection that broke."""
+    """Find out whether the upstream crashed, and whether this request is a suspect.
+
+    A request that had produced output did not crash the upstream.
+    """
     elapsed_s = trio.current_time() - started_at
     listens = await is_listening(upstream.announced.address)
     events.log(
@@ -271,11 +305,15 @@
         request_id=req.request_id,
         upstream=upstream.instance,
         group=upstream.group,
-        shared_parts=req.shared_parts,
+        shared_parts=req.content.parts,
         stream_events=event_count,
         elapsed_ms=round(elapsed_s * 1000),
         listens=listens,
     )
+    if listens is False and event_count == 0:
+        evidence = fwd.state.crash_evidence
+        retry.may_crash_another = not evidence.is_proven(req.content)
+        fwd.crash_reporter.record(upstream, req.content)
 
 
 async def _cancel_if_silent(
@@ -337,6 +375,8 @@
     budget: RetryBudget,
     writer: ResponseWriter,
 ) -> bool:
+    if retry.may_crash_another:
+        return False
     if isinstance(result, NotRun) and not result.reached_upstream:
         return retry.connect_failures < CONNECT_FAILURES_MAX
     if (
@@ -389,11 +429,15 @@
     return RETRY_AFTER_RESTART_S if code in _RESTART_CODES else RETRY_AFTER_S
 
 
-async def _finish_with_error(writer: ResponseWriter, retry: _RetryState) -> Finish:
+async def _finish_with_error(
+    fwd: Forwarder, writer: ResponseWriter, retry: _RetryState
+) -> Finish:
     outcome = Outcome.UNKNOWN if retry.may_have_run else Outcome.NOT_RUN
-    status = await writer.send_error(
-        retry.code, outcome, retry.text, retry_after_s(retry.code)
-    )
+    delay_s = retry_after_s(retry.code)
+    if retry.code is Code.REQUEST_HELD:
+        # A retry before the hold ends would be refused as well.
+        delay_s = fwd.state.crash_evidence.hold_left_s()
+    status = await writer.send_error(retry.code, outcome, retry.text, delay_s)
     return Finish(
         retry.code, outcome, status, retry.text, retry.upstream, retry.attempts_started
     )
--- a/src/mustardfront/programs/gateway/_main.py
+++ b/src/mustardfront/programs/gateway/_main.py
@@ -35,6 +35,7 @@
     make_app,
     make_ready_app,
 )
+from mustardfront.programs.gateway._crash import CrashReporter
 from mustardfront.programs.gateway._forward import Forwarder
 from mustardfront.programs.gateway._header_names import HeaderNames
 from mustardfront.results import Err, Result
@@ -169,7 +170,7 @@
         await nursery.start(_handle_signals, shutdown, live)
         nursery.start_soon(_stop_after_drain, live, shutdown, sink)
         nursery.start_soon(
-            _follow_feed, settings.host, open_feed, metrics, state, clock
+            _follow_feed, settings.host, open_feed, metrics, frontend.forwarder, clock
         )
         failed = await _serve_http(nursery, settings, frontend, shutdown, state)
         if failed is not None:
@@ -187,13 +188,14 @@
     host: str,
     open_feed: Callable[[Metrics], Any],
     metrics: Metrics,
-    state: TrafficState,
+    fwd: Forwarder,
     clock: Callable[[], float],
 ) -> None:
     feed: Feed
     async with open_feed(metrics) as feed, trio.open_nursery() as nursery:
         nursery.start_soon(keep_announced, feed, host)
-        await follow(feed, state, clock)
+        nursery.start_soon(fwd.crash_reporter.run, feed.report_crash)
+        await follow(feed, fwd.state, clock)
 
 
 def _make_frontend(
@@ -238,6 +240,7 @@
             settings.place,
             budget_of,
             is_view_unconfirmed,
+            CrashReporter(settings.host, state.crash_evidence),
             own_upstreams,
         ),
         metrics=metrics,
--- a/src/mustardfront/programs/gateway/_request.py
+++ b/src/mustardfront/programs/gateway/_request.py
@@ -7,8 +7,10 @@
 from typing import Any, Final, TypeAlias
 
 import trio
+import xxhash
 
 from mustardfront.codes import Code
+from mustardfront.coordination.quarantine import RequestContent
 from mustardfront.coordination.traffic import RouteTable, TrafficState, pick_service
 from mustardfront.programs.gateway._header_names import HeaderNames
 from mustardfront.results import Err, Ok, Result
@@ -43,7 +45,7 @@
     ``headers`` are the headers to forward. ``deadline_at`` is the earlier of the
     caller's deadline and the route's timeout. ``api_key`` is empty for an
     anonymous request. The token counts are 0 if the caller does not send them.
-    ``shared_parts`` are the IDs of the prompt's parts that other requests may share.
+    ``content`` identifies the request and its parts wherever it is sent again.
     """
 
     request_id: str
@@ -62,7 +64,7 @@
     config_version: int
     prompt_tokens: int
     max_output_tokens: int
-    shared_parts: tuple[str, ...] = ()
+    content: RequestContent
 
 
 def read_request(
@@ -109,7 +111,12 @@
             config_version=state.version,
             prompt_tokens=prompt,
             max_output_tokens=max_output,
-            shared_parts=_shared_parts(headers.get(header_names.prompt_parts, b"")),
+            content=_content(
+                scope,
+                access.value.team if access.value else "",
+                headers.get(header_names.prompt_parts, b""),
+                body,
+            ),
         )
     )
 
@@ -164,6 +171,14 @@
         return 0, 0
 
 
+def _content(
+    scope: dict[str, Any], team: str, parts: bytes, body: bytes
+) -> RequestContent:
+    method, target = scope["method"].encode(), _request_target(scope)
+    identity = b"\0".join((team.encode(), method, target, parts, body))
+    return RequestContent(xxhash.xxh3_64_hexdigest(identity), _shared_parts(parts))
+
+
 def _shared_parts(value: bytes) -> tuple[str, ...]:
     """Return the IDs of all parts but the last, which is the request's own."""
     parts = value.decode("latin-1").split(",")[:-1]
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -14,6 +14,7 @@
 from mustardfront.metrics import Metrics
 from mustardfront.programs._http import bind_socket, serve_asgi, server_config
 from mustardfront.programs.gateway._app import Frontend, make_app
+from mustardfront.programs.gateway._crash import CrashReporter
 from mustardfront.programs.gateway._forward import Forwarder
 from mustardfront.programs.gateway._header_names import HeaderNames
 from mustardfront.results import Ok
@@ -243,7 +244,12 @@
     draining = trio.Event()
     view_age_s = [0.0]
     fwd = Forwarder(
-        state, HeaderNames(), "a", lambda service: budget, lambda: view_age_s[0] > 1.0
+        state,
+        HeaderNames(),
+        "a",
+        lambda service: budget,
+        lambda: view_age_s[0] > 1.0,
+        CrashReporter("entry1", state.crash_evidence),
     )
     frontend = Frontend(fwd, Metrics(), lambda: True, draining.is_set)
     bound = bind_socket(("127.0.0.1", 0))
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -4,7 +4,16 @@
 
 import trio
 
-from gateway_fakes import CrashingUpstream, gateway, send_request
+from gateway_fakes import CrashingUpstream, gateway, instance, send_request
+from mustardfront.codes import Code
+from mustardfront.coordination.quarantine import (
+    CrashEvidence,
+    CrashReport,
+    RequestContent,
+)
+from mustardfront.coordination.traffic import Snapshot, TrafficState, Upstream
+from mustardfront.programs.gateway._crash import CrashReporter
+from mustardfront.results import Err, Ok, Result
 
 # Five crashes show the cause; three more requests may be on their way by then.
 REQUESTS_MAX = 5 + 3
@@ -36,3 +45,54 @@
             await trio.sleep(0.3)
         assert sound.complete
     assert sum(one.requests_with("bad") for one in upstreams.values()) <= REQUESTS_MAX
+
+
+async def test_request_that_crashes_upstreams_is_not_forwarded_again():
+    """Guards against a repeated request that crashes an upstream each time."""
+    upstreams = {f"u{n}": CrashingUpstream("bad") for n in range(4)}
+    async with gateway(upstreams) as gw:
+        for number in range(8):
+            headers = {"x-request-id": f"r{number}", "x-prompt-parts": "bad:9"}
+            refused = await send_request(gw, "/get/x", headers=headers, body=b"same")
+            await trio.sleep(0.3)
+    # It may have run as long as it was forwarded; the last answer is a refusal.
+    assert sum(one.requests_with("bad") for one in upstreams.values()) <= 3
+    assert refused.status == 503 and float(refused.headers["retry-after"]) > 60
+
+
+async def test_entry_learns_from_the_crashes_of_others_and_after_a_restart():
+    """Guards against each entry, or each new process, counting its own crashes."""
+    feeds = [RecordingFeed(), RecordingFeed()]
+    for number, feed in enumerate(feeds):
+        evidence = CrashEvidence(trio.current_time)
+        reporter = CrashReporter(f"entry{number}", evidence)
+        upstream = Upstream(instance(f"u{number}", ("127.0.0.1", 9), "svc"))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(reporter.run, feed.report_crash)
+            reporter.record(upstream, RequestContent(f"d{number}", ("first", "bad")))
+            with trio.fail_after(5):
+                await feed.taken.wait()
+            nursery.cancel_scope.cancel()
+        assert evidence.held_content(RequestContent("d9", ("first", "bad"))) is None
+    reports = tuple(report for feed in feeds for report in feed.reports)
+    state = TrafficState(trio.current_time)
+    state.replace(Snapshot(1, None, {}, crashes=reports), keep_missing=False)
+    held = state.crash_evidence.held_content(RequestContent("d9", ("first", "bad")))
+    assert held == "bad"
+
+
+class RecordingFeed:
+    """A store that is away for the first write."""
+
+    def __init__(self) -> None:
+        self.reports: list[CrashReport] = []
+        self.taken = trio.Event()
+        self._is_away = True
+
+    async def report_crash(self, report: CrashReport, ttl_s: float) -> Result[int]:
+        if self._is_away:
+            self._is_away = False
+            return Err(Code.STORE_UNAVAILABLE, "away")
+        self.reports.append(report)
+        self.taken.set()
+        return Ok(1)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -18,6 +18,7 @@
 
 from gateway_fakes import FakeUpstream, respond
 from mustardfront.codes import Code
+from mustardfront.coordination.quarantine import CrashReport, RequestContent
 from mustardfront.coordination.traffic import (
     EntryChange,
     TrafficState,
@@ -144,6 +145,22 @@
             assert isinstance(await client.wait_for_changes(1, 0.05), Err)
 
 
+async def test_crash_reports_reach_other_entries_by_watch_and_snapshot():
+    """Guards against crashes that stay known to one entry, or to one process."""
+    report = CrashReport("i-1.5", "e1", (RequestContent("f1", ("p", "q")),), ("p",))
+    async with (
+        running_store() as store,
+        open_store(store.address, Metrics()) as client,
+    ):
+        before = store.revision
+        assert isinstance(await client.report_crash(report, 60.0), Ok)
+        changes = await client.wait_for_changes(before, 1.0)
+        assert isinstance(changes, Ok) and changes.value.changes == (report,)
+        store.put("mustardfront/crashes/i-2.5/e2", b"{")
+        snapshot = await client.snapshot()
+        assert isinstance(snapshot, Ok) and snapshot.value.crashes == (report,)
+
+
 async def test_entry_is_announced_again_after_its_lease_expired():
     """Guards against budgets that are divided by too few entries.
 
