Take an answer without a length as complete unless its upstream crashed

Upstreams may answer, streams too, with neither a length nor chunks and end with the connection. A crash closes connections in the same orderly way, so a stream that a crash cut between two events went to the caller as complete; the sidecar had the opposite fault and failed each such answer.

Both fronts now check, where such a body ends, whether the upstream still runs: the gateway by whether it listens, the sidecar by its crash check. A reset, and an end inside an event, stay failures.

--- a/src/mustardfront/programs/gateway/_attempt.py
+++ b/src/mustardfront/programs/gateway/_attempt.py
@@ -7,8 +7,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Final, TypeAlias
 
 import httpcore
@@ -16,6 +17,7 @@
 
 from mustardfront.codes import Code
 from mustardfront.coordination.traffic import Upstream
+from mustardfront.programs.gateway._crash import is_listening
 from mustardfront.programs.gateway._head_limit import HeadLimitedBackend
 from mustardfront.programs.gateway._header_names import HeaderNames
 from mustardfront.programs.gateway._held import Hold
@@ -27,6 +29,7 @@
 CONNECT_TIMEOUT_S: Final = 0.4
 RESPONSE_BODY_MAX_BYTES: Final = 16 * 1024 * 1024
 EVENT_MAX_BYTES: Final = 1024 * 1024
+_CRASHED_AT_END: Final = "the upstream crashed where its unframed response ended"
 _TRANSPORT_ERRORS: Final = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
@@ -76,6 +79,10 @@
 
 AttemptResult: TypeAlias = FullResponse | Streamed | NotRun | Failed
 
+# Returns whether a body that ended is complete. One without a length or chunks ends
+# with its connection, which a crash closes as well.
+EndCheck: TypeAlias = Callable[[], Awaitable[bool]]
+
 
 class StreamProgress:
     """The events sent to the caller over all attempts, and the last activity."""
@@ -215,15 +222,33 @@
     is_success = 200 <= response.status < 300
     if is_success and header_names.answer_seal not in header_map:
         return Failed(Code.UPSTREAM_BAD_ANSWER, "response has no seal header")
+    is_end_certain = _always_true
+    if not _is_framed(header_map):
+        is_end_certain = partial(_still_runs, upstream)
     if is_success and req.route.kind is RequestKind.STREAM:
         return await _forward_stream(
-            response, end_to_end_headers(headers), writer, progress
+            response, end_to_end_headers(headers), writer, progress, is_end_certain
         )
     return await _read_full_response(
-        response, end_to_end_headers(headers), progress, hold
+        response, end_to_end_headers(headers), progress, hold, is_end_certain
     )
 
 
+def _is_framed(header_map: dict[bytes, bytes]) -> bool:
+    """Return whether a truncated body can be told from a complete one."""
+    chunked = b"chunked" in header_map.get(b"transfer-encoding", b"")
+    return chunked or b"content-length" in header_map
+
+
+async def _always_true() -> bool:
+    return True
+
+
+async def _still_runs(upstream: Upstream) -> bool:
+    """Return whether the upstream runs on; a crash also closes its connections."""
+    return await is_listening(upstream.announced.address) is not False
+
+
 def _check_refusal(
     header_names: HeaderNames,
     upstream: Upstream,
@@ -260,6 +285,7 @@
     headers: RawHeaders,
     progress: StreamProgress,
     hold: Hold,
+    is_end_certain: EndCheck,
 ) -> AttemptResult:
     body = bytearray()
     async for chunk in response.aiter_stream():
@@ -272,6 +298,8 @@
                 Code.UPSTREAM_BAD_ANSWER,
                 "response body exceeds what this entry may hold for all callers",
             )
+    if not await is_end_certain():
+        return Failed(Code.STREAM_CUT, _CRASHED_AT_END, connection_closed=True)
     return FullResponse(response.status, headers, bytes(body))
 
 
@@ -280,6 +308,7 @@
     headers: RawHeaders,
     writer: ResponseWriter,
     progress: StreamProgress,
+    is_end_certain: EndCheck = _always_true,
 ) -> AttemptResult:
     splitter = EventSplitter()
     async for chunk in response.aiter_stream():
@@ -302,6 +331,8 @@
         return Failed(
             Code.STREAM_CUT, "the stream ended inside an event", connection_closed=True
         )
+    if not await is_end_certain():
+        return Failed(Code.STREAM_CUT, _CRASHED_AT_END, connection_closed=True)
     with trio.CancelScope(shield=True):
         if not writer.started:
             await writer.start_stream(response.status, headers)
--- a/src/mustardfront/programs/sidecar/_relay.py
+++ b/src/mustardfront/programs/sidecar/_relay.py
@@ -153,7 +153,7 @@
         sidecar.observe_latency(trio.current_time() - started_s, overloaded=overloaded)
         await attempt.send(Head(attempt.req.stream, response.status, response.headers))
         relay = _relay_tokens if _is_token_stream(attempt, response) else _relay_body
-        relayed = await relay(attempt, response)
+        relayed = await relay(sidecar, attempt, response)
         if isinstance(relayed, Err):
             return await _error_reply(sidecar, attempt, relayed)
     if attempt.req.fingerprint:
@@ -165,7 +165,9 @@
     return attempt.req.streamed and response.status == 200 and response.is_event_stream
 
 
-async def _relay_tokens(attempt: Attempt, response: UpstreamResponse) -> Result[None]:
+async def _relay_tokens(
+    _sidecar: Sidecar, attempt: Attempt, response: UpstreamResponse
+) -> Result[None]:
     """Relay each token as it arrives; fail on a missing or repeated index."""
     parser = EventParser()
     stream = attempt.req.stream
@@ -196,8 +198,14 @@
             attempt.next_index += 1
 
 
-async def _relay_body(attempt: Attempt, response: UpstreamResponse) -> Result[None]:
-    """Relay the body in chunks."""
+async def _relay_body(
+    sidecar: Sidecar, attempt: Attempt, response: UpstreamResponse
+) -> Result[None]:
+    """Relay the body in chunks.
+
+    A body without a length or chunks ends with its connection, which a crash closes
+    as well; so it is complete only if the upstream runs on.
+    """
     while True:
         data = await response.receive()
         if isinstance(data, Err):
@@ -205,8 +213,8 @@
         if not data.value:
             break
         await attempt.send_body(data.value)
-    if not response.length_known:
-        text = "the answer is neither chunked nor has a length, so it may be truncated"
+    if not response.length_known and await sidecar.confirm_crash(attempt):
+        text = "the upstream crashed where an answer without a length ended"
         return Err(Code.STREAM_CUT, text)
     return Ok(None)
 
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -372,10 +372,13 @@
                 return
             self.requests.append(request)
             if self._deadly_part in request.headers.get("x-prompt-parts", ""):
-                self._scope.cancel()
+                self.crash()
                 await trio.sleep_forever()
             await self.scripts[0](request, conn)
 
+    def crash(self) -> None:
+        self._scope.cancel()
+
     def requests_with(self, part: str) -> int:
         return sum(
             part in request.headers.get("x-prompt-parts", "")
