Quarantine starts of prompts in the entry and the sidecar too

The same fault class in the other front: its quarantine counts whole requests, so prompts with one start and different ends would each crash an upstream. Crash reports now name the requests that had no output yet, the start of each one's prompt, and which starts produced output since the crash before; entries and sidecars infer held starts from them as the gateway does, and new peers get the unexpired ones.

test_prompts_with_one_start_that_crashes_are_quarantined plays two crashes of a real sidecar's engine by different requests; it cannot run on the code before, which has no such field. Fields are added at the end of messages, so older peers ignore them.

--- a/src/mustardfront/coordination/quarantine/_evidence.py
+++ b/src/mustardfront/coordination/quarantine/_evidence.py
@@ -91,8 +91,11 @@
             self._clear(content.fingerprint, self._last_number)
             self._infer()
 
-    def record_crash(self, report: CrashReport) -> None:
-        """Add a report; reports of one crash count once, however often they arrive."""
+    def record_crash(self, report: CrashReport) -> bool:
+        """Add a report, and return whether it was new.
+
+        Reports of one crash count once, however often they arrive.
+        """
         self._drop_expired()
         crash = self._crashes.get(report.crash)
         if crash is None:
@@ -114,6 +117,15 @@
                 sound_parts=report.sound_parts,
             )
         self._infer()
+        return bool(new)
+
+    def suspects_by_crash(self) -> dict[str, tuple[RequestContent, ...]]:
+        """Return the suspects of each unexpired crash, to be sent to a new peer."""
+        self._drop_expired()
+        return {
+            name: tuple(crash.suspects.values())
+            for name, crash in self._crashes.items()
+        }
 
     def sound_parts(self, crash: str, contents: Iterable[RequestContent]) -> list[str]:
         """Return the parts that produced output after the crashes before ``crash``."""
--- a/src/mustardfront/programs/entry/_callers.py
+++ b/src/mustardfront/programs/entry/_callers.py
@@ -69,6 +69,7 @@
     streamed: bool
     fingerprint: bytes
     prefix: int
+    part: bytes
     adapter: str
 
 
@@ -141,6 +142,7 @@
             streamed=call.streamed,
             fingerprint=_fingerprint(name, call.service, method, call.path, body),
             prefix=call.prefix,
+            part=call.prefix.to_bytes(8, "big") if call.prefix else b"",
             adapter=call.adapter,
         )
     )
--- a/src/mustardfront/programs/entry/_control.py
+++ b/src/mustardfront/programs/entry/_control.py
@@ -10,8 +10,9 @@
 from mustardfront.coordination.config import ConfigStore
 from mustardfront.coordination.hosts import HostList
 from mustardfront.coordination.peers import PeerHub
-from mustardfront.coordination.quarantine import Quarantine
+from mustardfront.coordination.quarantine import CrashEvidence, Quarantine
 from mustardfront.coordination.routing import UpstreamTable
+from mustardfront.programs._crash_reports import record_suspects
 from mustardfront.programs.entry._links import SidecarLinks
 from mustardfront.protocol import (
     CrashReport,
@@ -23,7 +24,12 @@
 from mustardfront.state import Config
 
 
-def add_control(hub: PeerHub, table: UpstreamTable, quarantine: Quarantine) -> None:
+def add_control(
+    hub: PeerHub,
+    table: UpstreamTable,
+    quarantine: Quarantine,
+    evidence: CrashEvidence,
+) -> None:
     """Handle load reports, leaving notices and crash reports of all peers."""
 
     async def handle(conn: PeerConnection, message: Message) -> bool:
@@ -36,7 +42,7 @@
             is_new = quarantine.record_crash(
                 message.upstream, message.instance, message.fingerprints
             )
-            if is_new:
+            if record_suspects(evidence, message) or is_new:
                 # Forwarded once, for entries that have no link to that sidecar.
                 hub.broadcast(message)
         else:
--- a/src/mustardfront/programs/entry/_forward.py
+++ b/src/mustardfront/programs/entry/_forward.py
@@ -13,7 +13,7 @@
 from mustardfront.constants import ATTEMPTS_MAX, DEADLINE_GRACE_S
 from mustardfront.coordination.idempotency import owner_order, partition_of
 from mustardfront.coordination.limits import RetryBudget
-from mustardfront.coordination.quarantine import Quarantine
+from mustardfront.coordination.quarantine import CrashEvidence, Quarantine
 from mustardfront.coordination.routing import (
     Decision,
     RouteRequest,
@@ -21,6 +21,7 @@
     capable_upstreams,
     choose,
 )
+from mustardfront.programs._crash_reports import part_content
 from mustardfront.programs.entry._answers import Answer, Finish
 from mustardfront.programs.entry._attempt import (
     AttemptResult,
@@ -78,6 +79,7 @@
     table: UpstreamTable
     budget_of: Callable[[str], RetryBudget]
     quarantine: Quarantine
+    crash_evidence: CrashEvidence
 
 
 async def forward(fwd: Forwarder, req: CallerRequest, answer: Answer) -> Finish:
@@ -154,6 +156,7 @@
         result = await _attempt_once(fwd, req, decision, message, answer, progress)
         if isinstance(result, Completed):
             fwd.quarantine.clear_crashes(req.fingerprint)
+            fwd.crash_evidence.record_success(part_content(req.part))
             return _complete_answer(answer, req, result, progress, history)
         retry = history.count < ATTEMPTS_MAX and _may_retry(
             req, result, budget, history.suspect
@@ -175,6 +178,13 @@
         events.log(events.Event.REQUEST_HELD, request_id=req.request_id)
         text = "this request crashed two upstreams"
         return Failed(Code.REQUEST_HELD, Outcome.NOT_RUN, text)
+    held_part = fwd.crash_evidence.held_content(part_content(req.part))
+    if held_part is not None:
+        events.log(
+            events.Event.REQUEST_HELD, request_id=req.request_id, content=held_part
+        )
+        text = "the start of this prompt crashed upstreams"
+        return Failed(Code.REQUEST_HELD, Outcome.NOT_RUN, text)
     decision = _route(fwd, req, history.excluded, history.preferred)
     if isinstance(decision, Ok):
         return decision.value
@@ -289,6 +299,7 @@
         streamed=req.streamed,
         suspect=history.suspect,
         config_version=decision.config_version,
+        part=req.part,
     )
     if not progress.next_index:
         return message
--- a/src/mustardfront/programs/entry/_main.py
+++ b/src/mustardfront/programs/entry/_main.py
@@ -11,7 +11,7 @@
 
 from mustardfront import events
 from mustardfront.coordination.limits import RetryBudget, TeamLimits
-from mustardfront.coordination.quarantine import Quarantine
+from mustardfront.coordination.quarantine import CrashEvidence, Quarantine
 from mustardfront.coordination.routing import UpstreamTable
 from mustardfront.programs._runtime import Process, Settings, run_process, serve_http
 from mustardfront.programs.entry._app import FrontContext, make_app, make_operators_app
@@ -72,7 +72,8 @@
     links = SidecarLinks(
         nursery, process.identity, process.key, process.hub, table, random.Random()
     )
-    add_control(process.hub, table, quarantine)
+    evidence = CrashEvidence(trio.current_time)
+    add_control(process.hub, table, quarantine, evidence)
     nursery.start_soon(follow_config, process.store, process.hosts, table, links)
     decisions = Decisions()
     events.add_listener(decisions.record)
@@ -83,6 +84,7 @@
         table=table,
         budget_of=_make_budget_of(process),
         quarantine=quarantine,
+        crash_evidence=evidence,
     )
     front = FrontContext(
         forwarder=forwarder,
--- a/src/mustardfront/programs/sidecar/_admission.py
+++ b/src/mustardfront/programs/sidecar/_admission.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from mustardfront.codes import Code
+from mustardfront.programs._crash_reports import part_content
 from mustardfront.programs.sidecar._state import Sidecar
 from mustardfront.programs.sidecar._upstream import UpstreamCall
 from mustardfront.protocol import Request
@@ -45,6 +46,8 @@
         return Err(
             Code.REQUEST_HELD, "the request is quarantined because it crashed upstreams"
         )
+    if sidecar.crash_evidence.held_content(part_content(req.part)) is not None:
+        return Err(Code.REQUEST_HELD, "the start of this prompt crashed upstreams")
     if not sidecar.healthy:
         return Err(
             Code.UPSTREAM_DOWN, f"upstream {sidecar.upstream} fails its health checks"
--- a/src/mustardfront/programs/sidecar/_health.py
+++ b/src/mustardfront/programs/sidecar/_health.py
@@ -11,10 +11,10 @@
 from mustardfront import events
 from mustardfront.codes import Code
 from mustardfront.coordination.quarantine import CrashSuspect, blamed_fingerprints
+from mustardfront.programs._crash_reports import make_crash_report, record_suspects
 from mustardfront.programs.sidecar._attempt import Attempt
 from mustardfront.programs.sidecar._state import Sidecar
 from mustardfront.programs.sidecar._upstream import UpstreamCall, UpstreamClient
-from mustardfront.protocol import CrashReport
 from mustardfront.results import Err
 
 CHECK_INTERVAL_S: Final = 1.0
@@ -203,9 +203,19 @@
             ],
             sidecar.quarantine.crashes_of,
         )
-        if suspects:
-            sidecar.quarantine.record_crash(sidecar.upstream, instance, suspects)
-            sidecar.hub.broadcast(CrashReport(sidecar.upstream, instance, suspects))
+        # A request that had produced output did not crash the upstream.
+        waiting = [
+            attempt.req
+            for attempt in affected
+            if attempt.next_index == attempt.req.resume_from
+        ]
+        report = make_crash_report(
+            sidecar.crash_evidence, sidecar.upstream, instance, suspects, waiting
+        )
+        record_suspects(sidecar.crash_evidence, report)
+        sidecar.quarantine.record_crash(sidecar.upstream, instance, suspects)
+        if suspects or report.suspects:
+            sidecar.hub.broadcast(report)
 
     def _abort_retryable(self, text: str) -> None:
         """Abort idempotent requests, which can be retried at another upstream.
--- a/src/mustardfront/programs/sidecar/_peers.py
+++ b/src/mustardfront/programs/sidecar/_peers.py
@@ -11,6 +11,7 @@
 from mustardfront.codes import Code
 from mustardfront.constants import DEADLINE_MAX_MS
 from mustardfront.coordination.peers import ControlHandler
+from mustardfront.programs._crash_reports import record_suspects, suspect_reports
 from mustardfront.programs.sidecar._attempt import Attempt
 from mustardfront.programs.sidecar._pauses import PauseDetector
 from mustardfront.programs.sidecar._relay import run_attempt
@@ -120,9 +121,10 @@
         if not isinstance(message, CrashReport):
             return False
         # Only new reports are forwarded, so that none circulates for ever.
-        if sidecar.quarantine.record_crash(
+        is_new = sidecar.quarantine.record_crash(
             message.upstream, message.instance, message.fingerprints
-        ):
+        )
+        if record_suspects(sidecar.crash_evidence, message) or is_new:
             sidecar.hub.broadcast(message)
         return True
 
@@ -139,6 +141,8 @@
         instance,
     ), fingerprints in sidecar.quarantine.unexpired_crashes().items():
         await conn.send(CrashReport(upstream, instance, fingerprints))
+    for report in suspect_reports(sidecar.crash_evidence):
+        await conn.send(report)
 
 
 async def report_loads(sidecar: Sidecar) -> None:
--- a/src/mustardfront/programs/sidecar/_relay.py
+++ b/src/mustardfront/programs/sidecar/_relay.py
@@ -11,6 +11,7 @@
 
 from mustardfront import events
 from mustardfront.codes import Code
+from mustardfront.programs._crash_reports import part_content
 from mustardfront.programs.sidecar._admission import (
     RETRY_AFTER_MS,
     admission_error,
@@ -158,6 +159,7 @@
             return await _error_reply(sidecar, attempt, relayed)
     if attempt.req.fingerprint:
         sidecar.quarantine.clear_crashes(attempt.req.fingerprint)
+    sidecar.crash_evidence.record_success(part_content(attempt.req.part))
     return attempt.answered_reply()
 
 
--- a/src/mustardfront/programs/sidecar/_state.py
+++ b/src/mustardfront/programs/sidecar/_state.py
@@ -13,7 +13,7 @@
 from mustardfront.coordination.idempotency import PartitionOwner
 from mustardfront.coordination.limits import AdaptiveLimit, FairQueue, Slot
 from mustardfront.coordination.peers import PeerHub
-from mustardfront.coordination.quarantine import Quarantine
+from mustardfront.coordination.quarantine import CrashEvidence, Quarantine
 from mustardfront.programs.sidecar._attempt import Attempt
 from mustardfront.programs.sidecar._upstream import UpstreamClient
 from mustardfront.protocol import Leaving, LoadReport, Request
@@ -62,6 +62,7 @@
 
     def __post_init__(self) -> None:
         self.quarantine = Quarantine(trio.current_time)
+        self.crash_evidence = CrashEvidence(trio.current_time)
         self.queue = FairQueue(lambda: self.limit, self.limits.queue)
         self.set_limits(self.limits)
 
--- a/src/mustardfront/protocol/_messages.py
+++ b/src/mustardfront/protocol/_messages.py
@@ -54,6 +54,8 @@
     suspect: bool = False
     credit: int = 0
     config_version: int = 0
+    # Identifies the start of the prompt, which other requests may share.
+    part: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,11 +158,19 @@
 
 @dataclass(frozen=True, slots=True)
 class CrashReport:
-    """An upstream instance crashed while it ran requests with these fingerprints."""
+    """An upstream instance crashed while it ran requests with these fingerprints.
+
+    ``suspects`` are the fingerprints of the requests that had no output yet, and
+    ``suspect_parts`` the part of each one's prompt. ``sound_parts`` are those that had
+    produced output since the crash before.
+    """
 
     upstream: str
     instance: str
     fingerprints: tuple[bytes, ...]
+    suspects: tuple[bytes, ...] = ()
+    suspect_parts: tuple[bytes, ...] = ()
+    sound_parts: tuple[bytes, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -10,7 +10,7 @@
 import trio.testing
 
 from mustardfront.coordination.limits import RetryBudget, TeamLimits
-from mustardfront.coordination.quarantine import Quarantine
+from mustardfront.coordination.quarantine import CrashEvidence, Quarantine
 from mustardfront.coordination.routing import UpstreamTable
 from mustardfront.metrics import Metrics
 from mustardfront.programs.entry._app import FrontContext, make_app
@@ -201,6 +201,7 @@
             table=table,
             budget_of=lambda _: budget,
             quarantine=Quarantine(trio.current_time),
+            crash_evidence=CrashEvidence(trio.current_time),
         )
         yield Client(
             FrontContext(
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -93,6 +93,7 @@
         Chunk(2**40, 7, b"\x00\xff"),
         End(1, 1000, "answered", 8),
         CrashReport("u", "i", (b"\x01" * 16, b"")),
+        CrashReport("u", "i", (), (b"f", b"g"), (b"p", b"q"), (b"p",)),
         Ping(1, 2),
     ],
 )
--- a/tests/test_sidecar_processes.py
+++ b/tests/test_sidecar_processes.py
@@ -241,3 +241,25 @@
                 return all(state["map_version"] and state["step"] for state in states)
 
             assert await poll_until(formed, 30)
+
+
+async def test_prompts_with_one_start_that_crashes_are_quarantined():
+    """Guards against one crash for each new prompt, and after an entry's restart."""
+    async with served() as setup:
+        entry = setup.caller
+        listen = setup.upstream.ready["address"]
+        for crashes in (1, 2):
+            fingerprint = b"bad%d" % crashes
+            bad = completion("<crash>", 4, fingerprint=fingerprint, part=b"start")
+            replies = await entry.run_when_up(bad)
+            assert replies.last.code == Code.UPSTREAM_CRASHED
+            name = f"engine-{crashes}"
+            await setup.fleet.start_standin(name, "engine", "--listen", listen)
+        await entry.run_when_up(completion("q", 1, fingerprint=b"q", part=b"other"))
+        new = completion("<crash>", 4, fingerprint=b"bad3", part=b"start")
+        held = await entry.run(new)
+        assert held.last.code == Code.REQUEST_HELD and held.last.not_run
+        async with caller(setup.address, "entry-2") as later:
+            await later.settle()
+            suspects = [report.suspect_parts for report in later.reports]
+            assert suspects.count((b"start",)) == 2
