--- a/src/mustardfront/programs/gateway/_app.py
+++ b/src/mustardfront/programs/gateway/_app.py
@@ -12,12 +12,8 @@
 from mustardfront.codes import Code, Outcome
 from mustardfront.metrics import Metrics
 from mustardfront.programs._http import send_text
-from mustardfront.programs.gateway._forward import (
-    Finish,
-    Forwarder,
-    forward,
-    retry_after_s,
-)
+from mustardfront.programs.gateway._choice import Forwarder
+from mustardfront.programs.gateway._forward import Finish, forward, retry_after_s
 from mustardfront.programs.gateway._held import Hold
 from mustardfront.programs.gateway._reply import AsgiSend, ResponseWriter
 from mustardfront.programs.gateway._request import GatewayRequest, read_request
--- /dev/null
+++ b/src/mustardfront/programs/gateway/_choice.py
@@ -0,0 +1,142 @@
+"""Choice of the upstream for a request's next attempt, and the wait for one."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+import trio
+
+from mustardfront import events
+from mustardfront.codes import Code
+from mustardfront.coordination.limits import RetryBudget
+from mustardfront.coordination.traffic import (
+    FirstEventTimes,
+    GroupPace,
+    TrafficState,
+    Upstream,
+    choose_upstream,
+    expected_foreign_load,
+    selectable_upstreams,
+)
+from mustardfront.programs.gateway._crash import CrashReporter
+from mustardfront.programs.gateway._header_names import HeaderNames
+from mustardfront.programs.gateway._held import HeldBytes
+from mustardfront.programs.gateway._request import GatewayRequest
+
+# Share of a request's time limit for which it waits for an available upstream. The
+# rest leaves its caller time to retry at another entry.
+UPSTREAM_WAIT_RATIO: Final = 0.3
+UPSTREAM_POLL_S: Final = 0.03
+
+
+@dataclass(frozen=True, slots=True)
+class Forwarder:
+    """State and callbacks of the entry that forwarding uses."""
+
+    state: TrafficState
+    header_names: HeaderNames
+    place: str
+    budget_of: Callable[[str], RetryBudget]
+    is_view_unconfirmed: Callable[[], bool]
+    crash_reporter: CrashReporter
+    # The upstreams of a service that are assigned to this entry.
+    own_upstreams: Callable[[str], frozenset[str]] = lambda service: frozenset()
+    first_event_times: FirstEventTimes = field(default_factory=FirstEventTimes)
+    held: HeldBytes = field(default_factory=HeldBytes)
+    pace: GroupPace = field(default_factory=lambda: GroupPace(trio.current_time))
+
+
+@dataclass(slots=True)
+class RetryState:
+    """The attempts of a request so far, and the last error."""
+
+    excluded: frozenset[str] = frozenset()
+    # Started attempts, for the log; ``attempts_sent`` leaves out connect failures.
+    attempts_started: int = 0
+    attempts_sent: int = 0
+    # Attempts that could not connect, or that reached another instance.
+    connect_failures: int = 0
+    may_have_run: bool = False
+    # Whether the retry budget was already charged for the next attempt.
+    is_budget_charged: bool = False
+    # A part of the prompt was at a crash and is not known to be sound.
+    may_crash_another: bool = False
+    upstream: str = ""
+    code: Code = Code.NO_CAPABLE_UPSTREAM
+    text: str = "no upstream of the service is available"
+
+
+async def wait_for_upstream(
+    fwd: Forwarder, req: GatewayRequest, retry: RetryState
+) -> Upstream | None:
+    """Wait for an available upstream; return None if there is none in time."""
+    wait_ends_at = req.arrived_at + UPSTREAM_WAIT_RATIO * (
+        req.deadline_at - req.arrived_at
+    )
+    while True:
+        if req.api_key and fwd.is_view_unconfirmed():
+            retry.code = Code.VIEW_UNCONFIRMED
+            retry.text = "the configuration store is unreachable"
+            return None
+        held = fwd.state.crash_evidence.held_content(req.content)
+        if held is not None:
+            _refuse_held(req, retry, held)
+            return None
+        chosen = _choose_upstream(fwd, req, retry)
+        if chosen is not None or trio.current_time() >= wait_ends_at:
+            return chosen
+        await trio.sleep(UPSTREAM_POLL_S)
+
+
+def _refuse_held(req: GatewayRequest, retry: RetryState, held: str) -> None:
+    retry.code = Code.REQUEST_HELD
+    retry.text = "this request, or a part of its prompt, crashed upstreams"
+    events.log(
+        events.Event.REQUEST_HELD,
+        request_id=req.request_id,
+        service=req.service,
+        team=req.team,
+        content=held,
+        attempt=retry.attempts_sent + 1,
+    )
+
+
+def _choose_upstream(
+    fwd: Forwarder, req: GatewayRequest, retry: RetryState
+) -> Upstream | None:
+    """Return the available upstream with the least expected load; log the choice."""
+    known = fwd.state.upstreams_of(req.service)
+    candidates = selectable_upstreams(known, retry.excluded, fwd.state)
+    own = fwd.own_upstreams(req.service)
+    foreign_load = expected_foreign_load(known, len(fwd.state.entries))
+    groups = frozenset(one.group for one in candidates)
+    ratios = {group: fwd.pace.slow_ratio(group, groups) for group in groups}
+
+    def slow_ratio(upstream: Upstream) -> float:
+        return ratios[upstream.group] * fwd.state.slowness(upstream)
+
+    chosen = choose_upstream(
+        candidates, own, foreign_load, fwd.place, random.random, slow_ratio
+    )
+    if chosen is None:
+        return None
+    events.log(
+        events.Event.ROUTE_CHOSEN,
+        request_id=req.request_id,
+        service=req.service,
+        team=req.team,
+        upstream=chosen.instance,
+        in_flight=chosen.in_flight,
+        own=chosen.instance in own,
+        foreign_load=round(foreign_load, 2),
+        slow_ratio=round(slow_ratio(chosen), 2),
+        candidates=len(candidates),
+        known=len(known),
+        attempt=retry.attempts_sent + 1,
+        config_version=req.config_version,
+        view_age_ms=round(fwd.state.age_s() * 1000),
+    )
+    return chosen
--- a/src/mustardfront/programs/gateway/_forward.py
+++ b/src/mustardfront/programs/gateway/_forward.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import random
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Final
 
 import trio
@@ -13,12 +11,7 @@
 from mustardfront.codes import Code, Outcome
 from mustardfront.coordination.limits import RetryBudget
 from mustardfront.coordination.traffic import (
-    FirstEventTimes,
-    GroupPace,
-    TrafficState,
     Upstream,
-    choose_upstream,
-    expected_foreign_load,
     selectable_upstreams,
     silence_timeout_s,
 )
@@ -31,9 +24,13 @@
     StreamProgress,
     run_attempt,
 )
-from mustardfront.programs.gateway._crash import CrashReporter, is_listening
-from mustardfront.programs.gateway._header_names import HeaderNames
-from mustardfront.programs.gateway._held import HeldBytes, Hold
+from mustardfront.programs.gateway._choice import (
+    Forwarder,
+    RetryState,
+    wait_for_upstream,
+)
+from mustardfront.programs.gateway._crash import is_listening
+from mustardfront.programs.gateway._held import Hold
 from mustardfront.programs.gateway._reply import ResponseWriter
 from mustardfront.programs.gateway._request import GatewayRequest
 
@@ -43,10 +40,6 @@
 # Restarting upstreams and an entry that has just started need about this long
 # to become available.
 RETRY_AFTER_RESTART_S: Final = 1.2
-# Share of a request's time limit for which it waits for an available upstream. The
-# rest leaves its caller time to retry at another entry.
-UPSTREAM_WAIT_RATIO: Final = 0.3
-UPSTREAM_POLL_S: Final = 0.03
 SILENCE_POLL_S: Final = 0.1
 # Error responses are sent this long before the deadline so that callers receive them in
 # time.
@@ -70,48 +63,11 @@
     attempts: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class Forwarder:
-    """State and callbacks of the entry that forwarding uses."""
-
-    state: TrafficState
-    header_names: HeaderNames
-    place: str
-    budget_of: Callable[[str], RetryBudget]
-    is_view_unconfirmed: Callable[[], bool]
-    crash_reporter: CrashReporter
-    # The upstreams of a service that are assigned to this entry.
-    own_upstreams: Callable[[str], frozenset[str]] = lambda service: frozenset()
-    first_event_times: FirstEventTimes = field(default_factory=FirstEventTimes)
-    held: HeldBytes = field(default_factory=HeldBytes)
-    pace: GroupPace = field(default_factory=lambda: GroupPace(trio.current_time))
-
-
-@dataclass(slots=True)
-class _RetryState:
-    """The attempts of a request so far, and the last error."""
-
-    excluded: frozenset[str] = frozenset()
-    # Started attempts, for the log; ``attempts_sent`` leaves out connect failures.
-    attempts_started: int = 0
-    attempts_sent: int = 0
-    # Attempts that could not connect, or that reached another instance.
-    connect_failures: int = 0
-    may_have_run: bool = False
-    # Whether the retry budget was already charged for the next attempt.
-    is_budget_charged: bool = False
-    # A part of the prompt was at a crash and is not known to be sound.
-    may_crash_another: bool = False
-    upstream: str = ""
-    code: Code = Code.NO_CAPABLE_UPSTREAM
-    text: str = "no upstream of the service is available"
-
-
 async def forward(
     fwd: Forwarder, req: GatewayRequest, writer: ResponseWriter
 ) -> Finish:
     """Forward a request, send the caller a response and return the final result."""
-    retry = _RetryState()
+    retry = RetryState()
     progress = StreamProgress(req.last_event_id)
     with trio.move_on_at(req.deadline_at - _DEADLINE_MARGIN_S):
         with fwd.held.hold_for() as hold:
@@ -125,7 +81,7 @@
     fwd: Forwarder,
     req: GatewayRequest,
     writer: ResponseWriter,
-    retry: _RetryState,
+    retry: RetryState,
     progress: StreamProgress,
     hold: Hold,
 ) -> Finish:
@@ -133,7 +89,7 @@
     budget.record_request()
     last_response: FullResponse | None = None
     while True:
-        upstream = await _wait_for_upstream(fwd, req, retry)
+        upstream = await wait_for_upstream(fwd, req, retry)
         if upstream is None:
             break
         result = await _run_one_attempt(
@@ -156,85 +112,12 @@
     return await _finish_with_error(fwd, writer, retry)
 
 
-async def _wait_for_upstream(
-    fwd: Forwarder, req: GatewayRequest, retry: _RetryState
-) -> Upstream | None:
-    """Wait for an available upstream; return None if there is none in time."""
-    wait_ends_at = req.arrived_at + UPSTREAM_WAIT_RATIO * (
-        req.deadline_at - req.arrived_at
-    )
-    while True:
-        if req.api_key and fwd.is_view_unconfirmed():
-            retry.code = Code.VIEW_UNCONFIRMED
-            retry.text = "the configuration store is unreachable"
-            return None
-        held = fwd.state.crash_evidence.held_content(req.content)
-        if held is not None:
-            _refuse_held(req, retry, held)
-            return None
-        chosen = _choose_upstream(fwd, req, retry)
-        if chosen is not None or trio.current_time() >= wait_ends_at:
-            return chosen
-        await trio.sleep(UPSTREAM_POLL_S)
-
-
-def _refuse_held(req: GatewayRequest, retry: _RetryState, held: str) -> None:
-    retry.code = Code.REQUEST_HELD
-    retry.text = "this request, or a part of its prompt, crashed upstreams"
-    events.log(
-        events.Event.REQUEST_HELD,
-        request_id=req.request_id,
-        service=req.service,
-        team=req.team,
-        content=held,
-        attempt=retry.attempts_sent + 1,
-    )
-
-
-def _choose_upstream(
-    fwd: Forwarder, req: GatewayRequest, retry: _RetryState
-) -> Upstream | None:
-    """Return the available upstream with the least expected load; log the choice."""
-    known = fwd.state.upstreams_of(req.service)
-    candidates = selectable_upstreams(known, retry.excluded, fwd.state)
-    own = fwd.own_upstreams(req.service)
-    foreign_load = expected_foreign_load(known, len(fwd.state.entries))
-    groups = frozenset(one.group for one in candidates)
-    ratios = {group: fwd.pace.slow_ratio(group, groups) for group in groups}
-
-    def slow_ratio(upstream: Upstream) -> float:
-        return ratios[upstream.group] * fwd.state.slowness(upstream)
-
-    chosen = choose_upstream(
-        candidates, own, foreign_load, fwd.place, random.random, slow_ratio
-    )
-    if chosen is None:
-        return None
-    events.log(
-        events.Event.ROUTE_CHOSEN,
-        request_id=req.request_id,
-        service=req.service,
-        team=req.team,
-        upstream=chosen.instance,
-        in_flight=chosen.in_flight,
-        own=chosen.instance in own,
-        foreign_load=round(foreign_load, 2),
-        slow_ratio=round(slow_ratio(chosen), 2),
-        candidates=len(candidates),
-        known=len(known),
-        attempt=retry.attempts_sent + 1,
-        config_version=req.config_version,
-        view_age_ms=round(fwd.state.age_s() * 1000),
-    )
-    return chosen
-
-
 async def _run_one_attempt(
     fwd: Forwarder,
     req: GatewayRequest,
     upstream: Upstream,
     writer: ResponseWriter,
-    retry: _RetryState,
+    retry: RetryState,
     progress: StreamProgress,
     hold: Hold,
 ) -> AttemptResult:
@@ -290,7 +173,7 @@
     fwd: Forwarder,
     req: GatewayRequest,
     upstream: Upstream,
-    retry: _RetryState,
+    retry: RetryState,
     event_count: int,
     started_at: float,
 ) -> None:
@@ -319,7 +202,7 @@
 async def _cancel_if_silent(
     fwd: Forwarder,
     req: GatewayRequest,
-    retry: _RetryState,
+    retry: RetryState,
     progress: StreamProgress,
     nursery: trio.Nursery,
 ) -> None:
@@ -345,7 +228,7 @@
 
 
 def _record_result(
-    fwd: Forwarder, upstream: Upstream, result: AttemptResult, retry: _RetryState
+    fwd: Forwarder, upstream: Upstream, result: AttemptResult, retry: RetryState
 ) -> None:
     """Update the health of the upstream and the retry state from a result."""
     is_replaced = isinstance(result, NotRun) and result.code is Code.UPSTREAM_REPLACED
@@ -371,7 +254,7 @@
 def _may_retry(
     req: GatewayRequest,
     result: AttemptResult,
-    retry: _RetryState,
+    retry: RetryState,
     budget: RetryBudget,
     writer: ResponseWriter,
 ) -> bool:
@@ -396,7 +279,7 @@
 
 def _log_retry(
     req: GatewayRequest,
-    retry: _RetryState,
+    retry: RetryState,
     result: AttemptResult,
     progress: StreamProgress,
 ) -> None:
@@ -414,7 +297,7 @@
     )
 
 
-def _answered(retry: _RetryState, status: int) -> Finish:
+def _answered(retry: RetryState, status: int) -> Finish:
     return Finish(
         Code.ANSWERED,
         Outcome.ANSWERED,
@@ -430,7 +313,7 @@
 
 
 async def _finish_with_error(
-    fwd: Forwarder, writer: ResponseWriter, retry: _RetryState
+    fwd: Forwarder, writer: ResponseWriter, retry: RetryState
 ) -> Finish:
     outcome = Outcome.UNKNOWN if retry.may_have_run else Outcome.NOT_RUN
     delay_s = retry_after_s(retry.code)
--- a/src/mustardfront/programs/gateway/_main.py
+++ b/src/mustardfront/programs/gateway/_main.py
@@ -35,8 +35,8 @@
     make_app,
     make_ready_app,
 )
+from mustardfront.programs.gateway._choice import Forwarder
 from mustardfront.programs.gateway._crash import CrashReporter
-from mustardfront.programs.gateway._forward import Forwarder
 from mustardfront.programs.gateway._header_names import HeaderNames
 from mustardfront.results import Err, Result
 
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -14,8 +14,8 @@
 from mustardfront.metrics import Metrics
 from mustardfront.programs._http import bind_socket, serve_asgi, server_config
 from mustardfront.programs.gateway._app import Frontend, make_app
+from mustardfront.programs.gateway._choice import Forwarder
 from mustardfront.programs.gateway._crash import CrashReporter
-from mustardfront.programs.gateway._forward import Forwarder
 from mustardfront.programs.gateway._header_names import HeaderNames
 from mustardfront.results import Ok
 from mustardfront.state import (
