--- a/src/mustardfront/coordination/traffic/__init__.py
+++ b/src/mustardfront/coordination/traffic/__init__.py
@@ -18,6 +18,11 @@
     expected_foreign_load,
     selectable_upstreams,
 )
+from mustardfront.coordination.traffic._rate_limits import (
+    RateLimitNotice,
+    RateLimits,
+    parse_rate_limit,
+)
 from mustardfront.coordination.traffic._routes import RouteTable, pick_service
 from mustardfront.coordination.traffic._silence import (
     FirstEventTimes,
@@ -32,6 +37,8 @@
     "Feed",
     "FirstEventTimes",
     "GroupPace",
+    "RateLimitNotice",
+    "RateLimits",
     "RouteTable",
     "SlowUpstream",
     "Snapshot",
@@ -43,6 +50,7 @@
     "expected_foreign_load",
     "follow",
     "keep_announced",
+    "parse_rate_limit",
     "pick_service",
     "selectable_upstreams",
     "silence_timeout_s",
--- a/src/mustardfront/coordination/traffic/_upstreams.py
+++ b/src/mustardfront/coordination/traffic/_upstreams.py
@@ -17,6 +17,7 @@
     Snapshot,
     UpstreamGone,
 )
+from mustardfront.coordination.traffic._rate_limits import RateLimits
 from mustardfront.coordination.traffic._routes import RouteTable
 from mustardfront.state import TrafficConfig, UpstreamInstance, UpstreamState
 
@@ -54,6 +55,11 @@
         """Return the name of the incarnation."""
         return self.announced.instance
 
+    @property
+    def incarnation(self) -> str:
+        """Return a name that no other process of an upstream ever has."""
+        return f"{self.announced.instance}.{self.announced.born_ms}"
+
     @property
     def takes_work(self) -> bool:
         """Return whether the upstream accepts new requests."""
@@ -88,6 +94,7 @@
         self._slowness: dict[tuple[str, int], float] = {}
         self._listeners: list[Callable[[], None]] = []
         self.crash_evidence = CrashEvidence(clock)
+        self.rate_limits = RateLimits(clock)
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after each change of the configuration or upstreams."""
--- a/src/mustardfront/programs/gateway/_attempt.py
+++ b/src/mustardfront/programs/gateway/_attempt.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from functools import partial
 from typing import Final, TypeAlias
@@ -79,6 +79,8 @@
 
 AttemptResult: TypeAlias = FullResponse | Streamed | NotRun | Failed
 
+HeadListener: TypeAlias = Callable[[int, Mapping[bytes, bytes]], None]
+
 # Returns whether a body that ended is complete. One without a length or chunks ends
 # with its connection, which a crash closes as well.
 EndCheck: TypeAlias = Callable[[], Awaitable[bool]]
@@ -128,11 +130,13 @@
     writer: ResponseWriter,
     progress: StreamProgress,
     hold: Hold,
+    on_head: HeadListener,
 ) -> AttemptResult:
     """Send the request to ``upstream`` and return the result.
 
     Events of a stream are forwarded as they arrive; any other response is read
-    completely and returned, and ``hold`` counts its bytes.
+    completely and returned, and ``hold`` counts its bytes. ``on_head`` is called with
+    the status and headers of a response before its body is read.
     """
     host, port = upstream.announced.address
     origin = httpcore.Origin(b"http", host.encode(), port)
@@ -152,6 +156,8 @@
                 connection_closed=True,
             )
         backend.end_head()
+        header_map = {name.lower(): value for name, value in response.headers}
+        on_head(response.status, header_map)
         try:
             return await _handle_response(
                 header_names, upstream, req, response, writer, progress, hold
--- a/src/mustardfront/programs/gateway/_crash.py
+++ b/src/mustardfront/programs/gateway/_crash.py
@@ -54,7 +54,7 @@
 
     def record(self, upstream: Upstream, content: RequestContent) -> None:
         """Record that a request waited for its first output at a crash."""
-        crash = f"{upstream.instance}.{upstream.announced.born_ms}"
+        crash = upstream.incarnation
         before = self._pending.get(crash)
         suspects = (*before.suspects, content) if before else (content,)
         sound = self._evidence.sound_parts(crash, suspects)
--- a/src/mustardfront/programs/gateway/_forward.py
+++ b/src/mustardfront/programs/gateway/_forward.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Final
 
@@ -11,7 +12,9 @@
 from mustardfront.codes import Code, Outcome
 from mustardfront.coordination.limits import RetryBudget
 from mustardfront.coordination.traffic import (
+    RateLimitNotice,
     Upstream,
+    parse_rate_limit,
     selectable_upstreams,
     silence_timeout_s,
 )
@@ -134,6 +137,9 @@
         fwd.pace.record_first_event(group, attempt)
         fwd.state.crash_evidence.record_success(req.content)
 
+    def on_head(status: int, headers: Mapping[bytes, bytes]) -> None:
+        _record_rate_limit(fwd, upstream, status, headers)
+
     progress.begin_attempt(on_first_event)
     started_at, events_before = trio.current_time(), progress.event_count
     result: AttemptResult = Failed(
@@ -146,7 +152,7 @@
                     _cancel_if_silent, fwd, req, retry, progress, nursery
                 )
             result = await run_attempt(
-                fwd.header_names, upstream, req, writer, progress, hold
+                fwd.header_names, upstream, req, writer, progress, hold, on_head
             )
             nursery.cancel_scope.cancel()
     finally:
@@ -169,6 +175,18 @@
     return result
 
 
+def _record_rate_limit(
+    fwd: Forwarder, upstream: Upstream, status: int, headers: Mapping[bytes, bytes]
+) -> None:
+    """Take over the limit that a response names, or the end of one."""
+    per_s = parse_rate_limit(headers.get(fwd.header_names.rate_limit, b""))
+    # A refusal may come from another process, or be written without the header.
+    if per_s is None and not 200 <= status < 300:
+        return
+    notice = RateLimitNotice(upstream.incarnation, per_s)
+    fwd.state.rate_limits.record(notice, source="response")
+
+
 async def _record_closed_attempt(
     fwd: Forwarder,
     req: GatewayRequest,
--- a/src/mustardfront/programs/gateway/_header_names.py
+++ b/src/mustardfront/programs/gateway/_header_names.py
@@ -13,7 +13,9 @@
     ``answer_seal`` is set on each successful response of an upstream. ``not_run``
     marks a response that proves that the request did not run. ``at_fault`` names the
     upstream that caused a failure. ``prompt_parts`` lists the parts of a prompt in
-    order, as ID:TOKENS entries separated by commas.
+    order, as ID:TOKENS entries separated by commas. ``rate_limit``
+    is on responses of an upstream in need: the requests a second that it takes from
+    all entries together, a decimal number.
     """
 
     request_id: bytes = b"x-request-id"
@@ -28,4 +30,5 @@
     last_event_id: bytes = b"last-event-id"
     token_counts: bytes = b"x-token-counts"
     prompt_parts: bytes = b"x-prompt-parts"
+    rate_limit: bytes = b"x-rate-limit"
     key_scheme: str = "Bearer"
