Share the rates that upstreams name among all entries

An upstream in need names the requests a second that it takes from all entries together. Entries did not read it: the two limited upstreams of capped got the same 11 to 13 requests in 4 s before, during and after their limits of 1.0 to 1.6. Class of the fault: a bound on the whole fleet that no process keeps, as it belongs to all of them.

An entry now takes the rate from the head of each answer, announces a new one in the store, where the others and restarted entries find it, and sends only its share: at most three entries, or one for each request a second, the same ones in the view of all, have equal shares and may send one request at once; others send none. Upstreams without a share left are no candidates; if all are without one for longer than the request may wait, it is refused at once with the time of the next request. A success without the header ends the limit.

--- a/src/mustardfront/coordination/traffic/_feed.py
+++ b/src/mustardfront/coordination/traffic/_feed.py
@@ -11,6 +11,7 @@
 from mustardfront import events
 from mustardfront.codes import Code
 from mustardfront.coordination.quarantine import CrashReport
+from mustardfront.coordination.traffic._rate_limits import RateLimitNotice
 from mustardfront.results import Err, Result
 from mustardfront.state import TrafficConfig, UpstreamInstance
 
@@ -47,6 +48,7 @@
     slow: tuple[SlowUpstream, ...] = ()
     # Oldest first.
     crashes: tuple[CrashReport, ...] = ()
+    rate_limits: tuple[RateLimitNotice, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +85,7 @@
     | EntryChange
     | SlowUpstream
     | CrashReport
+    | RateLimitNotice
 )
 
 
@@ -112,6 +115,11 @@
     async def report_crash(self, report: CrashReport, ttl_s: float) -> Result[int]:
         """Tell the other entries of a crash, and return the report's lease."""
 
+    async def announce_rate_limit(
+        self, notice: RateLimitNotice, ttl_s: float
+    ) -> Result[int]:
+        """Tell the other entries of an upstream's limit; return the notice's lease."""
+
 
 class TrafficView(Protocol):
     """The view that ``follow`` keeps current."""
--- a/src/mustardfront/coordination/traffic/_placing.py
+++ b/src/mustardfront/coordination/traffic/_placing.py
@@ -46,13 +46,15 @@
 ) -> list[Upstream]:
     """Return the candidates that are not in ``excluded``, healthy ones if any.
 
-    Blocked upstreams are returned only when no other is left; upstreams paused after
-    a refusal are never returned.
+    Blocked upstreams are returned only when no other is left. Upstreams paused after
+    a refusal are never returned, nor those whose limit leaves this entry no request.
     """
     left = [
         one
         for one in upstreams
-        if one.instance not in excluded and not state.is_refusing(one)
+        if one.instance not in excluded
+        and not state.is_refusing(one)
+        and not state.rate_limits.wait_s(one.incarnation)
     ]
     sound = [one for one in left if not state.is_blocked(one)]
     return sound or left
--- a/src/mustardfront/coordination/traffic/_upstreams.py
+++ b/src/mustardfront/coordination/traffic/_upstreams.py
@@ -17,7 +17,7 @@
     Snapshot,
     UpstreamGone,
 )
-from mustardfront.coordination.traffic._rate_limits import RateLimits
+from mustardfront.coordination.traffic._rate_limits import RateLimitNotice, RateLimits
 from mustardfront.coordination.traffic._routes import RouteTable
 from mustardfront.state import TrafficConfig, UpstreamInstance, UpstreamState
 
@@ -77,9 +77,10 @@
     """Configuration and upstreams in force at an entry, and the age of this view.
 
     ``clock`` returns seconds and includes time during which the host was suspended.
+    ``entry`` is this entry's name.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(self, clock: Callable[[], float], entry: str = "") -> None:
         self.routes: RouteTable | None = None
         self.configured = trio.Event()
         self._clock = clock
@@ -94,7 +95,7 @@
         self._slowness: dict[tuple[str, int], float] = {}
         self._listeners: list[Callable[[], None]] = []
         self.crash_evidence = CrashEvidence(clock)
-        self.rate_limits = RateLimits(clock)
+        self.rate_limits = RateLimits(clock, entry)
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after each change of the configuration or upstreams."""
@@ -123,10 +124,12 @@
         """Apply a snapshot; ``keep_missing`` marks missing upstreams as lapsed."""
         if snapshot.config is not None:
             self._apply_config(snapshot.config)
-        self.entries = snapshot.entries
+        self._set_entries(snapshot.entries)
         self._slowness = {one.address: one.slowness for one in snapshot.slow}
         for report in snapshot.crashes:
             self.crash_evidence.record_crash(report)
+        for notice in snapshot.rate_limits:
+            self.rate_limits.record_announced(notice)
         for announced in snapshot.upstreams.values():
             self._apply_announcement(announced)
         for instance in self._upstreams.keys() - snapshot.upstreams.keys():
@@ -141,17 +144,24 @@
         if isinstance(change, CrashReport):
             self.crash_evidence.record_crash(change)
             return
+        if isinstance(change, RateLimitNotice):
+            self.rate_limits.record_announced(change)
+            return
         if isinstance(change, TrafficConfig):
             self._apply_config(change)
         elif isinstance(change, EntryChange):
             others = self.entries - {change.name}
-            self.entries = others if change.is_gone else others | {change.name}
+            self._set_entries(others if change.is_gone else others | {change.name})
         elif isinstance(change, UpstreamGone):
             self._remove_upstream(change.instance, keep_missing)
         else:
             self._apply_announcement(change)
         self._rebuild_index()
 
+    def _set_entries(self, entries: frozenset[str]) -> None:
+        self.entries = entries
+        self.rate_limits.set_entries(entries)
+
     def drop_lapsed(self) -> None:
         """Remove the upstreams that were not announced again after a store outage."""
         for upstream in tuple(self._upstreams.values()):
@@ -280,6 +290,7 @@
             known.lapsed = True
             return
         del self._upstreams[instance]
+        self.rate_limits.forget(known.incarnation)
         if not keep and len(self._ended_incarnations) > ENDED_MAX:
             self._ended_incarnations.clear()
         events.log(events.Event.UPSTREAM_LEAVING, upstream=instance, reason="gone")
--- a/src/mustardfront/programs/gateway/_choice.py
+++ b/src/mustardfront/programs/gateway/_choice.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from math import isfinite
 from typing import Final
 
 import trio
@@ -15,6 +16,7 @@
 from mustardfront.coordination.traffic import (
     FirstEventTimes,
     GroupPace,
+    RateLimitNotice,
     TrafficState,
     Upstream,
     choose_upstream,
@@ -24,6 +26,7 @@
 from mustardfront.programs.gateway._crash import CrashReporter
 from mustardfront.programs.gateway._header_names import HeaderNames
 from mustardfront.programs.gateway._held import HeldBytes
+from mustardfront.programs.gateway._outbox import Outbox
 from mustardfront.programs.gateway._request import GatewayRequest
 
 # Share of a request's time limit for which it waits for an available upstream. The
@@ -42,6 +45,7 @@
     budget_of: Callable[[str], RetryBudget]
     is_view_unconfirmed: Callable[[], bool]
     crash_reporter: CrashReporter
+    rate_limit_notices: Outbox[RateLimitNotice]
     # The upstreams of a service that are assigned to this entry.
     own_upstreams: Callable[[str], frozenset[str]] = lambda service: frozenset()
     first_event_times: FirstEventTimes = field(default_factory=FirstEventTimes)
@@ -67,6 +71,8 @@
     upstream: str = ""
     code: Code = Code.NO_CAPABLE_UPSTREAM
     text: str = "no upstream of the service is available"
+    # When the caller should retry, if that is known better than by the code.
+    retry_after_s: float | None = None
 
 
 async def wait_for_upstream(
@@ -83,15 +89,41 @@
             return None
         held = fwd.state.crash_evidence.held_content(req.content)
         if held is not None:
-            _refuse_held(req, retry, held)
+            _refuse_held(fwd, req, retry, held)
             return None
         chosen = _choose_upstream(fwd, req, retry)
-        if chosen is not None or trio.current_time() >= wait_ends_at:
+        now_s = trio.current_time()
+        if chosen is not None or now_s >= wait_ends_at:
             return chosen
+        limit_wait_s = _limit_wait_s(fwd, req, retry)
+        if now_s + limit_wait_s > wait_ends_at:
+            retry.code = Code.UPSTREAM_LIMIT
+            retry.text = "the upstreams' rate limits leave no request to this entry"
+            # Another entry may have a share of the limits.
+            retry.retry_after_s = limit_wait_s if isfinite(limit_wait_s) else None
+            return None
         await trio.sleep(UPSTREAM_POLL_S)
 
 
-def _refuse_held(req: GatewayRequest, retry: RetryState, held: str) -> None:
+def _limit_wait_s(fwd: Forwarder, req: GatewayRequest, retry: RetryState) -> float:
+    """Return how long the limits of all upstreams not tried yet last; 0 if one is free.
+
+    Infinite if this entry has no share of any limit.
+    """
+    known = fwd.state.upstreams_of(req.service)
+    waits = [
+        fwd.state.rate_limits.wait_s(one.incarnation)
+        for one in known
+        if one.instance not in retry.excluded
+    ]
+    return min(waits, default=0.0)
+
+
+def _refuse_held(
+    fwd: Forwarder, req: GatewayRequest, retry: RetryState, held: str
+) -> None:
+    # A retry before the hold ends would be refused as well.
+    retry.retry_after_s = fwd.state.crash_evidence.hold_left_s()
     retry.code = Code.REQUEST_HELD
     retry.text = "this request, or a part of its prompt, crashed upstreams"
     events.log(
@@ -123,6 +155,7 @@
     )
     if chosen is None:
         return None
+    fwd.state.rate_limits.take(chosen.incarnation)
     events.log(
         events.Event.ROUTE_CHOSEN,
         request_id=req.request_id,
--- a/src/mustardfront/programs/gateway/_crash.py
+++ b/src/mustardfront/programs/gateway/_crash.py
@@ -16,14 +16,12 @@
     RequestContent,
 )
 from mustardfront.coordination.traffic import Upstream
+from mustardfront.programs.gateway._outbox import Outbox
 from mustardfront.results import Err, Result
 
 LISTEN_CHECK_TIMEOUT_S: Final = 0.2
 # The requests that a crash cut off end within this time and are reported together.
 REPORT_DELAY_S: Final = 0.1
-REPORT_RETRY_S: Final = 0.5
-# Bounds the reports that wait while the store is unavailable.
-PENDING_MAX: Final = 64
 
 WriteReport = Callable[[CrashReport, float], Awaitable[Result[int]]]
 
@@ -49,38 +47,29 @@
     def __init__(self, entry: str, evidence: CrashEvidence) -> None:
         self._entry = entry
         self._evidence = evidence
-        self._pending: dict[str, CrashReport] = {}
-        self._wakeup = trio.Event()
+        self._outbox = Outbox[CrashReport](lambda: REPORT_DELAY_S)
 
     def record(self, upstream: Upstream, content: RequestContent) -> None:
         """Record that a request waited for its first output at a crash."""
         crash = upstream.incarnation
-        before = self._pending.get(crash)
+        before = self._outbox.get(crash)
         suspects = (*before.suspects, content) if before else (content,)
         sound = self._evidence.sound_parts(crash, suspects)
         report = CrashReport(crash, self._entry, suspects, tuple(sound))
         self._evidence.record_crash(report)
-        self._pending[crash] = report
-        while len(self._pending) > PENDING_MAX:
-            del self._pending[next(iter(self._pending))]
-        self._wakeup.set()
+        self._outbox.put(crash, report)
 
     async def run(self, write: WriteReport) -> None:
-        """Write the reports until cancelled; repeat what the store does not take."""
-        while True:
-            await self._wakeup.wait()
-            await trio.sleep(REPORT_DELAY_S)
-            self._wakeup = trio.Event()
-            for crash, report in tuple(self._pending.items()):
-                written = await write(report, CRASH_TTL_S)
-                if isinstance(written, Err):
-                    self._wakeup.set()
-                    await trio.sleep(REPORT_RETRY_S)
-                    break
-                if self._pending.get(crash) is report:
-                    del self._pending[crash]
+        """Write the reports until cancelled."""
+
+        async def write_report(report: CrashReport) -> Result[int]:
+            written = await write(report, CRASH_TTL_S)
+            if not isinstance(written, Err):
                 events.log(
                     events.Event.CRASH_REPORTED,
-                    crash=crash,
+                    crash=report.crash,
                     requests=len(report.suspects),
                 )
+            return written
+
+        await self._outbox.run(write_report)
--- a/src/mustardfront/programs/gateway/_forward.py
+++ b/src/mustardfront/programs/gateway/_forward.py
@@ -77,7 +77,7 @@
             return await _run_attempts(fwd, req, writer, retry, progress, hold)
     # The error is sent outside the cancel scope: the time limit must not cut it off.
     retry.code, retry.text = Code.DEADLINE_PASSED, "no response within the time limit"
-    return await _finish_with_error(fwd, writer, retry)
+    return await _finish_with_error(writer, retry)
 
 
 async def _run_attempts(
@@ -112,7 +112,7 @@
             last_response.status, last_response.headers, last_response.body
         )
         return _answered(retry, last_response.status)
-    return await _finish_with_error(fwd, writer, retry)
+    return await _finish_with_error(writer, retry)
 
 
 async def _run_one_attempt(
@@ -184,7 +184,8 @@
     if per_s is None and not 200 <= status < 300:
         return
     notice = RateLimitNotice(upstream.incarnation, per_s)
-    fwd.state.rate_limits.record(notice, source="response")
+    if fwd.state.rate_limits.record(notice, source="response"):
+        fwd.rate_limit_notices.put(upstream.incarnation, notice)
 
 
 async def _record_closed_attempt(
@@ -330,14 +331,11 @@
     return RETRY_AFTER_RESTART_S if code in _RESTART_CODES else RETRY_AFTER_S
 
 
-async def _finish_with_error(
-    fwd: Forwarder, writer: ResponseWriter, retry: RetryState
-) -> Finish:
+async def _finish_with_error(writer: ResponseWriter, retry: RetryState) -> Finish:
     outcome = Outcome.UNKNOWN if retry.may_have_run else Outcome.NOT_RUN
-    delay_s = retry_after_s(retry.code)
-    if retry.code is Code.REQUEST_HELD:
-        # A retry before the hold ends would be refused as well.
-        delay_s = fwd.state.crash_evidence.hold_left_s()
+    delay_s = retry.retry_after_s
+    if delay_s is None:
+        delay_s = retry_after_s(retry.code)
     status = await writer.send_error(retry.code, outcome, retry.text, delay_s)
     return Finish(
         retry.code, outcome, status, retry.text, retry.upstream, retry.attempts_started
--- a/src/mustardfront/programs/gateway/_main.py
+++ b/src/mustardfront/programs/gateway/_main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import random
 import signal
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -16,6 +17,7 @@
 from mustardfront.coordination.limits import RetryBudget
 from mustardfront.coordination.traffic import (
     Feed,
+    RateLimitNotice,
     TrafficState,
     assign_upstreams,
     follow,
@@ -38,7 +40,8 @@
 from mustardfront.programs.gateway._choice import Forwarder
 from mustardfront.programs.gateway._crash import CrashReporter
 from mustardfront.programs.gateway._header_names import HeaderNames
-from mustardfront.results import Err, Result
+from mustardfront.programs.gateway._outbox import Outbox
+from mustardfront.results import Err, Ok, Result
 
 SETTING_EXIT_CODE: Final = 2
 # Limit of the request line and headers; it holds before the configuration is known.
@@ -47,6 +50,11 @@
 IDLE_MARGIN_S: Final = 1.0
 # Number of entries that share a retry budget, assumed while none of them is known.
 ENTRY_COUNT_DEFAULT: Final = 40
+# Entries learn of a limit by their own answers at nearly the same time; at different
+# delays all but the first find that it is announced.
+NOTICE_DELAY_S: Final = (0.05, 0.4)
+# Entries that start within this time learn of a limit before their first request.
+NOTICE_LEASE_S: Final = 600.0
 # The process exits by itself before SIGKILL: open requests are cancelled this long
 # before it, and the exit is forced half of this time before it.
 EXIT_MARGIN_S: Final = 0.8
@@ -162,7 +170,7 @@
 ) -> int:
     shutdown = _Shutdown(trio.Event(), trio.Event())
     metrics = Metrics()
-    state = TrafficState(clock)
+    state = TrafficState(clock, live.current.host)
     settings = live.current
     frontend = _make_frontend(live, header_names, state, metrics, shutdown)
     async with trio.open_nursery() as nursery:
@@ -195,9 +203,21 @@
     async with open_feed(metrics) as feed, trio.open_nursery() as nursery:
         nursery.start_soon(keep_announced, feed, host)
         nursery.start_soon(fwd.crash_reporter.run, feed.report_crash)
+        nursery.start_soon(_announce_rate_limits, feed, fwd)
         await follow(feed, fwd.state, clock)
 
 
+async def _announce_rate_limits(feed: Feed, fwd: Forwarder) -> None:
+    """Tell the other entries of limits that no entry has told yet."""
+
+    async def announce(notice: RateLimitNotice) -> Result[int]:
+        if not fwd.state.rate_limits.needs_announcement(notice):
+            return Ok(0)
+        return await feed.announce_rate_limit(notice, NOTICE_LEASE_S)
+
+    await fwd.rate_limit_notices.run(announce)
+
+
 def _make_frontend(
     live: LiveSettings,
     header_names: HeaderNames,
@@ -241,6 +261,7 @@
             budget_of,
             is_view_unconfirmed,
             CrashReporter(settings.host, state.crash_evidence),
+            Outbox(lambda: random.uniform(*NOTICE_DELAY_S)),
             own_upstreams,
         ),
         metrics=metrics,
--- /dev/null
+++ b/src/mustardfront/programs/gateway/_outbox.py
@@ -0,0 +1,54 @@
+"""Messages to the other entries that wait until the store has taken them."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, Generic, TypeVar
+
+import trio
+
+from mustardfront.results import Err, Result
+
+RETRY_S: Final = 0.5
+# Bounds the messages that wait while the store is unavailable.
+PENDING_MAX: Final = 64
+
+MessageT = TypeVar("MessageT")
+
+
+class Outbox(Generic[MessageT]):
+    """Pending messages by key; a later message replaces one that still waits.
+
+    ``delay_s()`` is how long a message waits for a later one before it is written.
+    """
+
+    def __init__(self, delay_s: Callable[[], float]) -> None:
+        self._delay_s = delay_s
+        self._pending: dict[str, MessageT] = {}
+        self._wakeup = trio.Event()
+
+    def get(self, key: str) -> MessageT | None:
+        """Return the message that waits under a key."""
+        return self._pending.get(key)
+
+    def put(self, key: str, message: MessageT) -> None:
+        """Add a message, or replace the one under its key."""
+        self._pending[key] = message
+        while len(self._pending) > PENDING_MAX:
+            del self._pending[next(iter(self._pending))]
+        self._wakeup.set()
+
+    async def run(self, write: Callable[[MessageT], Awaitable[Result[Any]]]) -> None:
+        """Write the messages until cancelled; repeat what the store does not take."""
+        while True:
+            await self._wakeup.wait()
+            await trio.sleep(self._delay_s())
+            self._wakeup = trio.Event()
+            for key, message in tuple(self._pending.items()):
+                written = await write(message)
+                if isinstance(written, Err):
+                    self._wakeup.set()
+                    await trio.sleep(RETRY_S)
+                    break
+                if self._pending.get(key) is message:
+                    del self._pending[key]
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -17,6 +17,7 @@
 from mustardfront.programs.gateway._choice import Forwarder
 from mustardfront.programs.gateway._crash import CrashReporter
 from mustardfront.programs.gateway._header_names import HeaderNames
+from mustardfront.programs.gateway._outbox import Outbox
 from mustardfront.results import Ok
 from mustardfront.state import (
     RequestKind,
@@ -250,6 +251,7 @@
         lambda service: budget,
         lambda: view_age_s[0] > 1.0,
         CrashReporter("entry1", state.crash_evidence),
+        Outbox(lambda: 0.0),
     )
     frontend = Frontend(fwd, Metrics(), lambda: True, draining.is_set)
     bound = bind_socket(("127.0.0.1", 0))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -21,6 +21,7 @@
 from mustardfront.coordination.quarantine import CrashReport, RequestContent
 from mustardfront.coordination.traffic import (
     EntryChange,
+    RateLimitNotice,
     TrafficState,
     UpstreamGone,
     follow,
@@ -161,6 +162,22 @@
         assert isinstance(snapshot, Ok) and snapshot.value.crashes == (report,)
 
 
+@pytest.mark.parametrize("per_s", [1.5, None])
+async def test_rate_limits_reach_other_entries_by_watch_and_snapshot(per_s):
+    """Guards against a limit that stays known to one entry."""
+    notice = RateLimitNotice("i-1.5", per_s)
+    async with (
+        running_store() as store,
+        open_store(store.address, Metrics()) as client,
+    ):
+        before = store.revision
+        assert isinstance(await client.announce_rate_limit(notice, 60.0), Ok)
+        changes = await client.wait_for_changes(before, 1.0)
+        assert isinstance(changes, Ok) and changes.value.changes == (notice,)
+        snapshot = await client.snapshot()
+        assert isinstance(snapshot, Ok) and snapshot.value.rate_limits == (notice,)
+
+
 async def test_entry_is_announced_again_after_its_lease_expired():
     """Guards against budgets that are divided by too few entries.
 
