Keep to a rate that a sidecar's upstream names

Only its sidecar sends to an upstream, so the sidecar reads x-rate-limit from each answer and refuses what goes beyond it as not run; entries then try another upstream within their budget.

The test failed before: all 80 requests of 4 s reached an upstream that names 0.5 a second; now at most 3 do, and all again once an answer names no rate.

--- a/src/mustardfront/programs/sidecar/_admission.py
+++ b/src/mustardfront/programs/sidecar/_admission.py
@@ -48,6 +48,9 @@
         )
     if sidecar.crash_evidence.held_content(part_content(req.part)) is not None:
         return Err(Code.REQUEST_HELD, "the start of this prompt crashed upstreams")
+    if sidecar.rate_limits.wait_s(sidecar.instance):
+        text = f"upstream {sidecar.upstream} names a rate that allows no request now"
+        return Err(Code.UPSTREAM_LIMIT, text)
     if not sidecar.healthy:
         return Err(
             Code.UPSTREAM_DOWN, f"upstream {sidecar.upstream} fails its health checks"
--- a/src/mustardfront/programs/sidecar/_relay.py
+++ b/src/mustardfront/programs/sidecar/_relay.py
@@ -11,6 +11,7 @@
 
 from mustardfront import events
 from mustardfront.codes import Code
+from mustardfront.coordination.traffic import RateLimitNotice, parse_rate_limit
 from mustardfront.programs._crash_reports import part_content
 from mustardfront.programs.sidecar._admission import (
     RETRY_AFTER_MS,
@@ -31,6 +32,8 @@
 from mustardfront.results import Err, Ok, Result
 
 CANCEL_TIMEOUT_S: Final = 1.0
+# On responses of an upstream in need: the requests a second that it takes.
+RATE_LIMIT_HEADER: Final = "x-rate-limit"
 # HTTP statuses by which an upstream reports overload.
 OVERLOAD_STATUSES: Final = frozenset({429, 503})
 
@@ -111,6 +114,7 @@
                 # A crash may have made the request a suspect while it was queued.
                 if suspect or not _is_suspect(sidecar, attempt):
                     attempt.isolated = suspect
+                    sidecar.rate_limits.take(sidecar.instance)
                     return await _forward(sidecar, attempt, call.value)
 
 
@@ -150,6 +154,7 @@
                 return attempt.refused_reply(result, RETRY_AFTER_MS)
             return await _error_reply(sidecar, attempt, result)
         response = result.value
+        _record_rate_limit(sidecar, attempt, response)
         overloaded = response.status in OVERLOAD_STATUSES
         sidecar.observe_latency(trio.current_time() - started_s, overloaded=overloaded)
         await attempt.send(Head(attempt.req.stream, response.status, response.headers))
@@ -163,6 +168,17 @@
     return attempt.answered_reply()
 
 
+def _record_rate_limit(
+    sidecar: Sidecar, attempt: Attempt, response: UpstreamResponse
+) -> None:
+    """Take over the rate that a response names, or the end of one."""
+    value = dict(response.headers).get(RATE_LIMIT_HEADER, "")
+    per_s = parse_rate_limit(value.encode("latin-1"))
+    if per_s is not None or 200 <= response.status < 300:
+        notice = RateLimitNotice(attempt.instance, per_s)
+        sidecar.rate_limits.record(notice, source="response")
+
+
 def _is_token_stream(attempt: Attempt, response: UpstreamResponse) -> bool:
     return attempt.req.streamed and response.status == 200 and response.is_event_stream
 
--- a/src/mustardfront/programs/sidecar/_state.py
+++ b/src/mustardfront/programs/sidecar/_state.py
@@ -14,6 +14,7 @@
 from mustardfront.coordination.limits import AdaptiveLimit, FairQueue, Slot
 from mustardfront.coordination.peers import PeerHub
 from mustardfront.coordination.quarantine import CrashEvidence, Quarantine
+from mustardfront.coordination.traffic import RateLimits
 from mustardfront.programs.sidecar._attempt import Attempt
 from mustardfront.programs.sidecar._upstream import UpstreamClient
 from mustardfront.protocol import Leaving, LoadReport, Request
@@ -63,6 +64,8 @@
     def __post_init__(self) -> None:
         self.quarantine = Quarantine(trio.current_time)
         self.crash_evidence = CrashEvidence(trio.current_time)
+        # This sidecar alone sends to its upstream, so its share is the whole limit.
+        self.rate_limits = RateLimits(trio.current_time)
         self.queue = FairQueue(lambda: self.limit, self.limits.queue)
         self.set_limits(self.limits)
 
--- a/tests/test_sidecar_attempts.py
+++ b/tests/test_sidecar_attempts.py
@@ -295,3 +295,26 @@
     assert attempt.isolated is isolated
     held = attempt.conn.sent[-1].code == Code.REQUEST_HELD
     assert held is (crashes == 2) is not attempt.forwarded
+
+
+async def test_upstream_that_names_a_rate_gets_no_more_requests(autojump_clock):
+    """Guards against an upstream in need that its sidecar loads as before."""
+
+    def answer(call):
+        response = FakeResponse([b"x"], is_event_stream=False)
+        response.headers = (("x-rate-limit", "0.5"),) if limited else ()
+        return response
+
+    limited = True
+    sidecar = await make_sidecar(answer)
+    for _ in range(80):
+        conn = await run(sidecar, make_request())
+        await trio.sleep(0.05)
+    # One before the limit is known, then one in 2 s.
+    assert len(sidecar.client.calls) <= 3
+    assert conn.sent[-1].code == Code.UPSTREAM_LIMIT and conn.sent[-1].not_run
+    limited = False
+    await trio.sleep(2)
+    for _ in range(5):
+        conn = await run(sidecar, make_request())
+        assert conn.sent[-1].code == Code.ANSWERED
