Keep crash evidence by part and infer holds only when asked

Each report searched all parts of all crashes and inferred the holds anew: with hundreds of crashes at once, as when a rack fails, entries would have spent seconds on it. The crashes that count are now kept by part, only parts at two crashes or more are compared, and holds are inferred when a request asks for them. The tests of the inference are unchanged but for the name of the method that they read.

--- a/src/mustardfront/coordination/quarantine/_evidence.py
+++ b/src/mustardfront/coordination/quarantine/_evidence.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -61,13 +61,18 @@
     at_s: float
     suspects: dict[str, RequestContent] = field(default_factory=dict)
 
-    def parts(self) -> dict[str, int]:
-        """Return the suspects' parts, each with its last position in a prompt."""
-        positions: dict[str, int] = {}
-        for suspect in self.suspects.values():
-            for position, part in enumerate(suspect.parts):
-                positions[part] = max(position, positions.get(part, 0))
-        return positions
+
+@dataclass(slots=True)
+class _Presence:
+    """How a part or request was at one crash.
+
+    ``position`` is a part's last position in a prompt; ``fingerprints`` are the
+    suspects that had it.
+    """
+
+    crash: _Crash
+    position: int = 0
+    fingerprints: set[str] = field(default_factory=set)
 
 
 class CrashEvidence:
@@ -75,21 +80,28 @@
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
+        # Oldest first.
         self._crashes: dict[str, _Crash] = {}
         self._last_number = 0
         # Crashes up to this number do not count against the part or fingerprint.
         self._cleared: dict[str, int] = {}
-        self._suspects: frozenset[str] = frozenset()
-        self._held: frozenset[str] = frozenset()
+        # The crashes that count against each part or fingerprint, by their numbers.
+        self._counted: dict[str, dict[int, _Presence]] = {}
+        # The held content, or None if it must be inferred again. It is inferred when it
+        # is asked for: a failed rack brings hundreds of reports at once.
+        self._held: frozenset[str] | None = frozenset()
+        self._logged: frozenset[str] = frozenset()
 
     def record_success(self, content: RequestContent) -> None:
         """Clear the content of a request that produced output."""
+        was_suspect = content.fingerprint in self._counted
+        if was_suspect:
+            self._clear(content.fingerprint, self._last_number)
         for part in content.parts:
+            was_suspect = was_suspect or part in self._counted
             self._clear(part, self._last_number)
-        suspects = self._suspects.intersection((content.fingerprint, *content.parts))
-        if suspects:
-            self._clear(content.fingerprint, self._last_number)
-            self._infer()
+        if was_suspect:
+            self._held = None
 
     def record_crash(self, report: CrashReport) -> bool:
         """Add a report, and return whether it was new.
@@ -104,9 +116,10 @@
             self._crashes[report.crash] = crash
         for part in report.sound_parts:
             self._clear(part, crash.number - 1)
-        new = [one for one in report.suspects if one.fingerprint not in crash.suspects]
         room = SUSPECTS_PER_CRASH_MAX - len(crash.suspects)
-        crash.suspects |= {one.fingerprint: one for one in new[:room]}
+        new = [one for one in report.suspects if one.fingerprint not in crash.suspects]
+        for suspect in new[:room]:
+            self._add_suspect(crash, suspect)
         if new:
             events.log(
                 events.Event.CRASH_SUSPECTED,
@@ -116,7 +129,9 @@
                 parts=sorted({part for one in new for part in one.parts}),
                 sound_parts=report.sound_parts,
             )
-        self._infer()
+            self._held = None
+        if report.sound_parts:
+            self._held = None
         return bool(new)
 
     def suspects_by_crash(self) -> dict[str, tuple[RequestContent, ...]]:
@@ -129,35 +144,72 @@
 
     def sound_parts(self, crash: str, contents: Iterable[RequestContent]) -> list[str]:
         """Return the parts that produced output after the crashes before ``crash``."""
-        others = [one for name, one in self._crashes.items() if name != crash]
-        parts = sorted({part for content in contents for part in content.parts})
-        return [
-            part
-            for part in parts
-            if part in self._cleared and not self._counted(part, others)
-        ]
+        known = self._crashes.get(crash)
+        own_number = known.number if known else 0
+
+        def is_sound(part: str) -> bool:
+            others = self._counted.get(part, {}).keys() - {own_number}
+            return part in self._cleared and not others
+
+        parts = {part for content in contents for part in content.parts}
+        return sorted(filter(is_sound, parts))
 
     def held_content(self, content: RequestContent) -> str | None:
         """Return the fingerprint or part for which a request must be refused."""
-        if not self._held:
-            return None
         self._drop_expired()
+        held = self.held()
         for name in (content.fingerprint, *content.parts):
-            if name in self._held:
+            if name in held:
                 return name
         return None
 
+    def held(self) -> frozenset[str]:
+        """Return the fingerprints and parts for which requests must be refused."""
+        if self._held is not None:
+            return self._held
+        repeated = {
+            name: counted
+            for name, counted in self._counted.items()
+            if len(counted) >= CRASHES_TO_HOLD
+        }
+        held = {
+            name
+            for name, counted in repeated.items()
+            if any(name in one.crash.suspects for one in counted.values())
+        }
+        held |= self._explain(
+            {name: counted for name, counted in repeated.items() if name not in held}
+        )
+        for name in sorted(held - self._logged):
+            events.log(
+                events.Event.REQUEST_HELD, content=name, crashes=len(repeated[name])
+            )
+        self._held = self._logged = frozenset(held)
+        return self._held
+
     def is_proven(self, content: RequestContent) -> bool:
         """Return whether each part has produced output since the last crash with it."""
         return all(
-            part in self._cleared and part not in self._suspects
+            part in self._cleared and part not in self._counted
             for part in content.parts
         )
 
     def hold_left_s(self) -> float:
         """Return after how many seconds all present holds have expired."""
-        latest = max((one.at_s for one in self._crashes.values()), default=0.0)
-        return max(0.0, latest + CRASH_TTL_S - self._clock())
+        if not self._crashes:
+            return 0.0
+        latest = next(reversed(self._crashes.values()))
+        return max(0.0, latest.at_s + CRASH_TTL_S - self._clock())
+
+    def _add_suspect(self, crash: _Crash, suspect: RequestContent) -> None:
+        crash.suspects[suspect.fingerprint] = suspect
+        for position, name in enumerate((suspect.fingerprint, *suspect.parts)):
+            if crash.number <= self._cleared.get(name, 0):
+                continue
+            counted = self._counted.setdefault(name, {})
+            presence = counted.setdefault(crash.number, _Presence(crash))
+            presence.position = max(presence.position, position)
+            presence.fingerprints.add(suspect.fingerprint)
 
     def _clear(self, name: str, number: int) -> None:
         number = max(number, self._cleared.pop(name, 0))
@@ -165,44 +217,32 @@
         self._cleared[name] = number
         if len(self._cleared) > PARTS_MAX:
             del self._cleared[next(iter(self._cleared))]
+        if name in self._counted:
+            self._uncount(name, [one for one in self._counted[name] if one <= number])
+
+    def _uncount(self, name: str, numbers: Iterable[int]) -> None:
+        counted = self._counted.get(name, {})
+        for number in numbers:
+            counted.pop(number, None)
+        if not counted:
+            self._counted.pop(name, None)
 
     def _drop_expired(self) -> None:
         oldest_s = self._clock() - CRASH_TTL_S
-        expired = [name for name, one in self._crashes.items() if one.at_s <= oldest_s]
-        excess = len(self._crashes) - CRASHES_MAX
-        expired += list(self._crashes)[: max(0, excess)]
-        if not expired:
-            return
-        for name in expired:
-            self._crashes.pop(name, None)
-        self._infer()
-
-    def _infer(self) -> None:
-        """Derive the suspects and the held content from all crashes."""
-        crashes = list(self._crashes.values())
-        parts = {part for crash in crashes for part in crash.parts()}
-        prints = {name for crash in crashes for name in crash.suspects}
-        counted = {name: self._counted(name, crashes) for name in parts | prints}
-        self._suspects = frozenset(name for name, found in counted.items() if found)
-        held = {name for name in prints if len(counted[name]) >= CRASHES_TO_HOLD}
-        held |= self._explain({part: counted[part] for part in parts})
-        for name in sorted(held - self._held):
-            events.log(
-                events.Event.REQUEST_HELD, content=name, crashes=len(counted[name])
-            )
-        self._held = frozenset(held)
-
-    def _counted(self, name: str, crashes: Iterable[_Crash]) -> list[_Crash]:
-        """Return the crashes that count against a fingerprint or part."""
-        cleared = self._cleared.get(name, 0)
-        return [
-            crash
-            for crash in crashes
-            if crash.number > cleared
-            and (name in crash.suspects or name in crash.parts())
-        ]
-
-    def _explain(self, counted: Mapping[str, list[_Crash]]) -> set[str]:
+        has_dropped = False
+        while self._crashes:
+            name, crash = next(iter(self._crashes.items()))
+            if crash.at_s > oldest_s and len(self._crashes) <= CRASHES_MAX:
+                break
+            del self._crashes[name]
+            has_dropped = True
+            for suspect in crash.suspects.values():
+                for one in (suspect.fingerprint, *suspect.parts):
+                    self._uncount(one, [crash.number])
+        if has_dropped:
+            self._held = None
+
+    def _explain(self, counted: Mapping[str, Mapping[int, _Presence]]) -> set[str]:
         """Return the fewest parts that explain the crashes.
 
         The part with most crashes explains them; only further crashes count against
@@ -210,41 +250,33 @@
         one that comes later in prompts, which fewer requests share.
         """
         held: set[str] = set()
-        left = {part: list(crashes) for part, crashes in counted.items()}
+        left = {part: dict(presences) for part, presences in counted.items()}
 
         def rank(part: str) -> tuple[int, bool, int, str]:
-            positions = [crash.parts()[part] for crash in left[part]]
-            is_new = part not in self._cleared
-            return len(left[part]), is_new, max(positions, default=0), part
+            presences = left[part].values()
+            position = max((one.position for one in presences), default=0)
+            return len(presences), part not in self._cleared, position, part
 
         while left:
             best = max(left, key=rank)
-            if not left[best]:
-                break
             explained = left.pop(best)
-            if not self._is_enough(best, explained):
+            if len(explained) < CRASHES_TO_HOLD:
+                break
+            if not self._is_enough(best, explained.values()):
                 continue
             held.add(best)
-            numbers = {crash.number for crash in explained}
-            left = {
-                part: [crash for crash in crashes if crash.number not in numbers]
-                for part, crashes in left.items()
-            }
+            for presences in left.values():
+                for number in explained:
+                    presences.pop(number, None)
         return held
 
-    def _is_enough(self, part: str, crashes: list[_Crash]) -> bool:
+    def _is_enough(self, part: str, presences: Collection[_Presence]) -> bool:
         """Return whether crashes at which a part was present are enough to hold it."""
-        suspects = {
-            name
-            for crash in crashes
-            for name, suspect in crash.suspects.items()
-            if part in suspect.parts
-        }
         # Crashes of one request are evidence against that request alone.
-        if len(suspects) < 2:
+        if len(set().union(*(one.fingerprints for one in presences))) < 2:
             return False
         if part not in self._cleared:
-            return len(crashes) >= CRASHES_TO_HOLD
-        times = [crash.at_s for crash in crashes]
+            return True
+        times = [one.crash.at_s for one in presences]
         is_apart = max(times) - min(times) >= SEPARATE_CRASH_S
-        return len(crashes) >= KNOWN_PART_CRASHES_TO_HOLD and is_apart
+        return len(presences) >= KNOWN_PART_CRASHES_TO_HOLD and is_apart
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -172,10 +172,10 @@
     evidence = CrashEvidence(Clock())
     for report in reports:
         evidence.record_crash(report)
-    held = evidence._held
+    held = evidence.held()
     for report in reports:
         evidence.record_crash(report)
-    assert evidence._held == held
+    assert evidence.held() == held
 
 
 @settings(derandomize=True)
