Take over no rate limit from a redirected request

A 421 comes from another process at the address, so what it names is not the limit of the upstream that the request was sent to.

test_limit_of_another_process_at_the_address_is_not_taken_over failed on the code before.

--- a/src/mustardfront/coordination/traffic/_rate_limits.py
+++ b/src/mustardfront/coordination/traffic/_rate_limits.py
@@ -100,6 +100,8 @@
     def record_announced(self, notice: RateLimitNotice) -> None:
         """Take over a limit that an entry announced."""
         self._announced[notice.incarnation] = notice
+        while len(self._announced) > UPSTREAMS_MAX:
+            del self._announced[next(iter(self._announced))]
         self.record(notice, source="store")
 
     def needs_announcement(self, notice: RateLimitNotice) -> bool:
--- a/src/mustardfront/programs/gateway/_forward.py
+++ b/src/mustardfront/programs/gateway/_forward.py
@@ -179,9 +179,12 @@
     fwd: Forwarder, upstream: Upstream, status: int, headers: Mapping[bytes, bytes]
 ) -> None:
     """Take over the limit that a response names, or the end of one."""
+    if status == 421:
+        # Another process may have taken over the address.
+        return
     per_s = parse_rate_limit(headers.get(fwd.header_names.rate_limit, b""))
-    # A refusal may come from another process, or be written without the header.
     if per_s is None and not 200 <= status < 300:
+        # Error responses may be written without the header.
         return
     notice = RateLimitNotice(upstream.incarnation, per_s)
     if fwd.state.rate_limits.record(notice, source="response"):
--- a/src/mustardfront/programs/gateway/_outbox.py
+++ b/src/mustardfront/programs/gateway/_outbox.py
@@ -11,7 +11,7 @@
 
 RETRY_S: Final = 0.5
 # Bounds the messages that wait while the store is unavailable.
-PENDING_MAX: Final = 64
+PENDING_MAX: Final = 1_024
 
 MessageT = TypeVar("MessageT")
 
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -155,3 +155,12 @@
         while sent and sent[0] <= now_s - WINDOW_S:
             sent.popleft()
         assert len(sent) <= requests_max(per_s)
+
+
+async def test_limit_of_another_process_at_the_address_is_not_taken_over():
+    """Guards against limiting an upstream by what its successor says of itself."""
+    extra = SEAL + b"x-rate-limit: 0.5\r\n"
+    async with gateway({"u1": FakeUpstream([respond(421, extra=extra)])}) as gw:
+        incarnation = gw.state.get("u1").incarnation
+        await send_request(gw, "/get/x")
+        assert gw.state.rate_limits.named(incarnation).per_s is None
