--- a/src/mustardfront/coordination/idempotency/_key.py
+++ b/src/mustardfront/coordination/idempotency/_key.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import time
 import uuid
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -26,6 +27,11 @@
     partition: int
 
 
+def wall_clock_ms() -> int:
+    """Return the Unix time in ms, the unit of the time in UUIDv7 keys."""
+    return time.time_ns() // 1_000_000
+
+
 def parse_key(team: str, text: str, now_ms: int) -> Result[RequestKey]:
     """Parse an idempotency key, which must be a UUIDv7 (RFC 9562).
 
--- a/src/mustardfront/coordination/idempotency/_owner.py
+++ b/src/mustardfront/coordination/idempotency/_owner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 import trio
@@ -38,6 +37,7 @@
     RequestKey,
     parse_key,
     request_digest,
+    wall_clock_ms,
 )
 from mustardfront.coordination.idempotency._members import Members
 from mustardfront.coordination.idempotency._record import (
@@ -55,11 +55,6 @@
 from mustardfront.results import Err, Ok, Result
 
 
-def wall_clock_ms() -> int:
-    """Return the Unix time in ms, the unit of the time in UUIDv7 keys."""
-    return time.time_ns() // 1_000_000
-
-
 def _default_retention_s() -> int:
     return 3_600
 
