--- a/src/mustardfront/coordination/expertmap/_links.py
+++ b/src/mustardfront/coordination/expertmap/_links.py
@@ -34,7 +34,6 @@
 ORDER_TIMEOUT_S: Final = 5.0
 RECONNECT_INTERVAL_S: Final = 0.5
 QUEUED_ORDERS_MAX: Final = 64
-PING_S: Final = 2.0
 
 
 class OrderExecutor:
--- a/src/mustardfront/coordination/limits/_queue.py
+++ b/src/mustardfront/coordination/limits/_queue.py
@@ -239,19 +239,6 @@
         share = limit * team.weight / self._active_weight_sum
         return team.in_flight + 1 <= max(share, _RESERVE_BURST_RATIO * reserve)
 
-    def predict_wait_s(self, team: str, weight: float, priority: int) -> float:
-        """Return the predicted wait of a new request in seconds; 0 when unknown."""
-        if self._in_flight < self._limit() and not self._queued:
-            return 0.0
-        team_state = self._teams.get(team)
-        own_ahead = 0
-        if team_state is not None:
-            # The key sorts after all waiting requests of the same priority.
-            own_ahead = bisect.bisect_left(
-                team_state.waiting, (1 - priority, 0), key=_sort_key
-            )
-        return self._predict_wait_s(team_state, weight, own_ahead)
-
     def _predict_wait_s(
         self, team: _TeamState | None, weight: float, own_ahead: int
     ) -> float:
--- a/src/mustardfront/programs/gateway/_request.py
+++ b/src/mustardfront/programs/gateway/_request.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 from typing import Any, Final, TypeAlias
 
-import trio
 import xxhash
 
 from mustardfront.codes import Code
@@ -206,8 +205,3 @@
     }
     dropped = HOP_BY_HOP_HEADERS | consumed | connection_options
     return tuple((name, value) for name, value in lowered if name not in dropped)
-
-
-def seconds_left(req: GatewayRequest) -> float:
-    """Return the time until the request's deadline."""
-    return req.deadline_at - trio.current_time()
--- a/src/mustardfront/programs/sidecar/_sse.py
+++ b/src/mustardfront/programs/sidecar/_sse.py
@@ -51,11 +51,6 @@
     def __init__(self) -> None:
         self._buffer = b""
 
-    @property
-    def has_partial_event(self) -> bool:
-        """Return whether the input so far ends inside an event."""
-        return bool(self._buffer.strip())
-
     def feed(self, data: bytes) -> Result[list[bytes]]:
         """Return the data of each event that ``data`` completes."""
         buffer = self._buffer + data
