Bound crash evidence to some megabytes

With 512 crashes of 64 suspects each the evidence took 55 MB, most of what an entry may use for control. 128 crashes of 32 suspects take 6.9 MB (tracemalloc), and 8,192 parts 0.7 MB; a worker has 3 to 6 slots and a short queue.

--- a/src/mustardfront/coordination/quarantine/_evidence.py
+++ b/src/mustardfront/coordination/quarantine/_evidence.py
@@ -24,8 +24,8 @@
 SEPARATE_CRASH_S: Final = 1.0
 # Bounds the memory: beyond these numbers the oldest are forgotten.
 PARTS_MAX: Final = 8_192
-CRASHES_MAX: Final = 512
-SUSPECTS_PER_CRASH_MAX: Final = 64
+CRASHES_MAX: Final = 128
+SUSPECTS_PER_CRASH_MAX: Final = 32
 
 
 @dataclass(frozen=True, slots=True)
