--- a/src/mustardfront/coordination/traffic/_feed.py
+++ b/src/mustardfront/coordination/traffic/_feed.py
@@ -171,6 +171,19 @@
         await sleep(ENTRY_KEEP_S)
 
 
+def _log_snapshot(snapshot: Snapshot) -> None:
+    events.log(
+        events.Event.VIEW_READ,
+        revision=snapshot.revision,
+        config_version=snapshot.config.version if snapshot.config else 0,
+        upstreams=len(snapshot.upstreams),
+        entries=len(snapshot.entries),
+        slow=len(snapshot.slow),
+        crashes=len(snapshot.crashes),
+        rate_limits=len(snapshot.rate_limits),
+    )
+
+
 class _Follower:
     def __init__(
         self, feed: Feed, view: TrafficView, clock: Callable[[], float]
@@ -190,6 +203,7 @@
             self._mark_store_lost(result)
             return
         self._mark_store_regained()
+        _log_snapshot(result.value)
         self._revision = result.value.revision
         self._view.replace(result.value, self._in_grace())
         self._view.confirm(began_s)
