--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import json
 from base64 import b64decode, b64encode
 from collections.abc import AsyncIterator
@@ -22,13 +23,14 @@
 
     An item is its data, its revision and its lease. ``status``, unless 0, answers every
     call; ``is_silent`` leaves calls without a response. Watches from a revision before
-    ``compacted_revision`` fail.
+    ``compacted_revision`` or from one that does not exist yet fail.
     """
 
     revision: int = 1
     items: dict[str, tuple[bytes, int, int]] = field(default_factory=dict)
     change_log: list[tuple[int, str]] = field(default_factory=list)
     compacted_revision: int = 0
+    era: int = 1
     page_size: int = 500
     status: int = 0
     is_silent: bool = False
@@ -56,6 +58,19 @@
     def compact(self) -> None:
         self.compacted_revision = self.revision
 
+    def copy(self) -> FakeStore:
+        """Return a copy of the data for ``restore``."""
+        data = copy.copy(self)
+        data.items, data.leases = dict(self.items), set(self.leases)
+        data.change_log = list(self.change_log)
+        return data
+
+    def restore(self, data: FakeStore) -> None:
+        """Go back to a copy in a new era; revisions and leases are given out again."""
+        self.revision, self.items = data.revision, dict(data.items)
+        self.leases, self.change_log = set(data.leases), list(data.change_log)
+        self.era += 1
+
     def item_json(self, key: str) -> dict[str, Any]:
         if key not in self.items:
             return {"key": key, "revision": self.revision, "tombstone": True}
@@ -85,7 +100,10 @@
             data = json.loads(body) if body else {}
             status, reply = await self.handle_call(scope["path"], args, data)
         raw = json.dumps(reply).encode()
-        headers = [(b"content-length", str(len(raw)).encode())]
+        headers = [
+            (b"content-length", str(len(raw)).encode()),
+            (b"store-era", str(self.era).encode()),
+        ]
         await send(
             {"type": "http.response.start", "status": status, "headers": headers}
         )
@@ -132,7 +150,7 @@
 
     async def watch(self, args) -> tuple[int, dict[str, Any]]:
         after = int(args["after"])
-        if after < self.compacted_revision:
+        if after < self.compacted_revision or after > self.revision:
             return 410, {}
         with trio.move_on_after(int(args["waitMs"]) / 1000):
             while self.revision <= after:
