Read everything again when the store was restored

Callers got 404 for a route, or the old service, for as long as no further configuration was written: an entry's watch went on in the new era of the store at a revision that had been given out again, and was never told of the changes below it.

Cause: revisions were compared across eras. Class: a position in a log that was replaced.

Changes of another era than the view's are dropped, and everything is read again; upstreams that are missing then are kept for the same grace as after an outage. This works since the era is in each answer, so that no change of another era can be applied as a successor.

--- a/src/mustardfront/coordination/traffic/_feed.py
+++ b/src/mustardfront/coordination/traffic/_feed.py
@@ -28,8 +28,8 @@
 # Changes reach an entry later by half of it on average; the bounds on draining and on
 # new configurations are 2 s and more.
 WATCH_SPACING_S: Final = 0.3
-# Announcements that lapsed during a store outage return within 2 s of its end; an
-# upstream that is still missing after that is gone.
+# Announcements that lapsed during a store outage, or that a restored store lost, return
+# within 2 s of its end; an upstream that is still missing after that is gone.
 LAPSED_GRACE_S: Final = 1.8
 # An ended entry is counted until its lease expires; then the other entries divide its
 # share of the budgets.
@@ -39,7 +39,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
-    """Everything the store holds for entries, at one revision."""
+    """Everything the store holds for entries, at one revision.
+
+    ``era`` changes when the store comes back from an older copy of its data. Revisions
+    of different eras cannot be compared: some are given out again.
+    """
 
     revision: int
     config: TrafficConfig | None
@@ -49,6 +53,7 @@
     # Oldest first.
     crashes: tuple[CrashReport, ...] = ()
     rate_limits: tuple[RateLimitNotice, ...] = ()
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,10 +96,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Changes:
-    """Changes up to ``revision``, oldest first."""
+    """Changes up to ``revision`` of an era, oldest first."""
 
     revision: int
     changes: tuple[Change, ...]
+    era: int = 0
 
 
 class Feed(Protocol):
@@ -174,6 +180,7 @@
 def _log_snapshot(snapshot: Snapshot) -> None:
     events.log(
         events.Event.VIEW_READ,
+        era=snapshot.era,
         revision=snapshot.revision,
         config_version=snapshot.config.version if snapshot.config else 0,
         upstreams=len(snapshot.upstreams),
@@ -194,6 +201,7 @@
         self._view = view
         self._clock = clock
         self._revision = 0
+        self._era: int | None = None
         self._grace_until: float | None = None
 
     async def snapshot(self) -> None:
@@ -204,6 +212,9 @@
             return
         self._mark_store_regained()
         _log_snapshot(result.value)
+        if self._era not in (None, result.value.era):
+            self._begin_grace()
+        self._era = result.value.era
         self._revision = result.value.revision
         self._view.replace(result.value, self._in_grace())
         self._view.confirm(began_s)
@@ -217,6 +228,10 @@
             if result.code is not Code.STORE_HISTORY_GONE:
                 self._mark_store_lost(result)
             return
+        if result.value.era != self._era:
+            # These changes do not follow those in the view; read everything again.
+            self.in_step = False
+            return
         self._revision = max(self._revision, result.value.revision)
         for change in result.value.changes:
             self._view.apply(change, self._in_grace())
@@ -233,6 +248,9 @@
             return began_s
         return began_s + max(0.0, WATCH_WAIT_S - CONFIRM_LAG_S)
 
+    def _begin_grace(self) -> None:
+        self._grace_until = self._clock() + LAPSED_GRACE_S
+
     def _in_grace(self) -> bool:
         return self._grace_until is not None and self._clock() < self._grace_until
 
@@ -252,5 +270,5 @@
         if not self.lost:
             return
         self.lost = False
-        self._grace_until = self._clock() + LAPSED_GRACE_S
+        self._begin_grace()
         events.log(events.Event.STORE_RETURNED)
