Take a lease as lost when the store was restored since its grant

An entry could stay uncounted by the others for good: they then divide the retry budget and the rates of upstreams among too few, and together send upstreams more than they may get. A slow rank's agent could end the lease of another process, whose announcement vanished for some seconds.

Cause: a lease was known by its number alone. A store that comes back from an older copy gives numbers out again, so renewing succeeds for another process's lease while the own key stays lost. Class: an identifier used beyond the era that it belongs to.

A key written under a lease is now known with its revision and era. A renewal that is answered in another era counts as lost, so that the key is written again, and a grant and a write of different eras are not taken together. A notice is removed by its key and revision instead of by ending its lease, which cannot touch what another process wrote; the test of its removal now checks that a second removal finds nothing, as it did for the lease.

On the code before, the entry of the first test is never announced again.

--- a/src/mustardfront/coordination/traffic/_feed.py
+++ b/src/mustardfront/coordination/traffic/_feed.py
@@ -13,7 +13,7 @@
 from mustardfront.coordination.quarantine import CrashReport
 from mustardfront.coordination.traffic._rate_limits import RateLimitNotice
 from mustardfront.results import Err, Result
-from mustardfront.state import TrafficConfig, UpstreamInstance
+from mustardfront.state import LeasedKey, TrafficConfig, UpstreamInstance
 
 # A watch without changes returns after this time, which confirms the view. Two watches
 # and the wait for a lost one must take less time than the age that a view may have.
@@ -112,19 +112,21 @@
     async def wait_for_changes(self, after: int, wait_s: float) -> Result[Changes]:
         """Wait for changes; Err(STORE_HISTORY_GONE) when ``after`` is too old."""
 
-    async def announce(self, name: str, ttl_s: float) -> Result[int]:
-        """Announce an entry under a new lease and return the lease."""
+    async def announce(self, name: str, ttl_s: float) -> Result[LeasedKey]:
+        """Announce an entry by a key under a new lease."""
 
-    async def renew_lease(self, lease: int) -> Result[None]:
-        """Renew a lease; Err(LEASE_LOST) when it has ended."""
+    async def renew_lease(self, written: LeasedKey) -> Result[None]:
+        """Renew a key's lease; Err(LEASE_LOST) when it has ended."""
 
-    async def report_crash(self, report: CrashReport, ttl_s: float) -> Result[int]:
-        """Tell the other entries of a crash, and return the report's lease."""
+    async def report_crash(
+        self, report: CrashReport, ttl_s: float
+    ) -> Result[LeasedKey]:
+        """Tell the other entries of a crash."""
 
     async def announce_rate_limit(
         self, notice: RateLimitNotice, ttl_s: float
-    ) -> Result[int]:
-        """Tell the other entries of an upstream's limit; return the notice's lease."""
+    ) -> Result[LeasedKey]:
+        """Tell the other entries of an upstream's limit."""
 
 
 class TrafficView(Protocol):
@@ -164,15 +166,15 @@
     feed: Feed, name: str, sleep: Callable[[float], Awaitable[None]] = trio.sleep
 ) -> None:
     """Keep an entry announced until cancelled, so that others can count it."""
-    lease: int | None = None
+    announced: LeasedKey | None = None
     while True:
-        if lease is None:
+        if announced is None:
             made = await feed.announce(name, ENTRY_LEASE_S)
-            lease = None if isinstance(made, Err) else made.value
+            announced = None if isinstance(made, Err) else made.value
         else:
-            kept = await feed.renew_lease(lease)
+            kept = await feed.renew_lease(announced)
             if isinstance(kept, Err) and kept.code is Code.LEASE_LOST:
-                lease = None
+                announced = None
                 continue
         await sleep(ENTRY_KEEP_S)
 
--- a/src/mustardfront/programs/agent/_slow.py
+++ b/src/mustardfront/programs/agent/_slow.py
@@ -13,6 +13,7 @@
 
 from mustardfront.codes import Code
 from mustardfront.results import Err, Result
+from mustardfront.state import LeasedKey
 
 CHECK_INTERVAL_S: Final = 0.25
 # Hysteresis keeps a rank near the limit from writing to the store again and again.
@@ -28,14 +29,14 @@
 
     async def announce_slow(
         self, address: tuple[str, int], slowness: float, ttl_s: float
-    ) -> Result[int]:
-        """Tell the entries that an upstream is slow; return the notice's lease."""
+    ) -> Result[LeasedKey]:
+        """Tell the entries that an upstream is slow."""
 
-    async def renew_lease(self, lease: int) -> Result[None]:
+    async def renew_lease(self, written: LeasedKey) -> Result[None]:
         """Renew a notice's lease."""
 
-    async def end_lease(self, lease: int) -> Result[None]:
-        """End a notice."""
+    async def remove(self, written: LeasedKey) -> Result[None]:
+        """Remove a notice."""
 
 
 async def keep_slowness_announced(
@@ -44,23 +45,23 @@
     read_slowness: Callable[[], float],
 ) -> None:
     """Keep a notice in the store while the rank is slow, until cancelled."""
-    lease: int | None = None
+    notice: LeasedKey | None = None
     renew_at = 0.0
     while True:
         await trio.sleep(CHECK_INTERVAL_S)
         slowness, now = read_slowness(), trio.current_time()
-        if lease is None and slowness >= SLOW_MIN:
+        if notice is None and slowness >= SLOW_MIN:
             made = await notices.announce_slow(address, slowness, NOTICE_LEASE_S)
             if isinstance(made, Err):
                 await trio.sleep(RENEW_S)
                 continue
-            lease, renew_at = made.value, now + RENEW_S
-        elif lease is not None and slowness <= RECOVERED_MAX:
-            ended = await notices.end_lease(lease)
-            if not isinstance(ended, Err) or ended.code is Code.LEASE_LOST:
-                lease = None
-        elif lease is not None and now >= renew_at:
-            kept = await notices.renew_lease(lease)
+            notice, renew_at = made.value, now + RENEW_S
+        elif notice is not None and slowness <= RECOVERED_MAX:
+            removed = await notices.remove(notice)
+            if not isinstance(removed, Err) or removed.code is Code.LEASE_LOST:
+                notice = None
+        elif notice is not None and now >= renew_at:
+            kept = await notices.renew_lease(notice)
             renew_at = now + RENEW_S
             if isinstance(kept, Err) and kept.code is Code.LEASE_LOST:
-                lease = None
+                notice = None
--- a/src/mustardfront/programs/gateway/_crash.py
+++ b/src/mustardfront/programs/gateway/_crash.py
@@ -18,12 +18,13 @@
 from mustardfront.coordination.traffic import Upstream
 from mustardfront.programs.gateway._outbox import Outbox
 from mustardfront.results import Err, Result
+from mustardfront.state import LeasedKey
 
 LISTEN_CHECK_TIMEOUT_S: Final = 0.2
 # The requests that a crash cut off end within this time and are reported together.
 REPORT_DELAY_S: Final = 0.1
 
-WriteReport = Callable[[CrashReport, float], Awaitable[Result[int]]]
+WriteReport = Callable[[CrashReport, float], Awaitable[Result[LeasedKey]]]
 
 
 async def is_listening(address: tuple[str, int]) -> bool | None:
@@ -62,7 +63,7 @@
     async def run(self, write: WriteReport) -> None:
         """Write the reports until cancelled."""
 
-        async def write_report(report: CrashReport) -> Result[int]:
+        async def write_report(report: CrashReport) -> Result[LeasedKey]:
             written = await write(report, CRASH_TTL_S)
             if not isinstance(written, Err):
                 events.log(
--- a/src/mustardfront/programs/gateway/_main.py
+++ b/src/mustardfront/programs/gateway/_main.py
@@ -210,10 +210,11 @@
 async def _announce_rate_limits(feed: Feed, fwd: Forwarder) -> None:
     """Tell the other entries of limits that no entry has told yet."""
 
-    async def announce(notice: RateLimitNotice) -> Result[int]:
+    async def announce(notice: RateLimitNotice) -> Result[None]:
         if not fwd.state.rate_limits.needs_announcement(notice):
-            return Ok(0)
-        return await feed.announce_rate_limit(notice, NOTICE_LEASE_S)
+            return Ok(None)
+        written = await feed.announce_rate_limit(notice, NOTICE_LEASE_S)
+        return written if isinstance(written, Err) else Ok(None)
 
     await fwd.rate_limit_notices.run(announce)
 
--- a/src/mustardfront/state/__init__.py
+++ b/src/mustardfront/state/__init__.py
@@ -25,6 +25,7 @@
     map_to_data,
     rank_loads,
 )
+from mustardfront.state._lease import LeasedKey
 from mustardfront.state._ticket import (
     Ticket,
     apply_ticket,
@@ -57,6 +58,7 @@
     "Group",
     "Host",
     "LayerMap",
+    "LeasedKey",
     "Limits",
     "Loads",
     "Place",
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -132,19 +132,18 @@
         if path.startswith("/-/kv-keep/"):
             alive = int(path.rpartition("/")[2]) in self.leases
             return (200, {"ttlMs": 1}) if alive else (404, {})
-        if path.startswith("/-/kv-lease-end/"):
-            lease = int(path.rpartition("/")[2])
-            if lease not in self.leases:
-                return 404, {}
-            self.leases.discard(lease)
-            for key in [key for key, item in self.items.items() if item[2] == lease]:
-                self.remove(key)
-            return 200, {}
         if path == "/-/kv-txn":
+            if any(
+                row["revision"] != self.items.get(row["key"], (b"", 0, 0))[1]
+                for row in data["expected"]
+            ):
+                return 412, {}
             if any(write["lease"] not in self.leases for write in data["writes"]):
                 return 404, {}
             for write in data["writes"]:
                 self.put(write["key"], b64decode(write["value"]), write["lease"])
+            for key in data["remove"]:
+                self.remove(key)
             return 200, {"revision": self.revision}
         return 404, {}
 
--- a/tests/test_slow_ranks.py
+++ b/tests/test_slow_ranks.py
@@ -34,8 +34,8 @@
     async def renew_lease(self, lease):
         return self._answer("renew", None)
 
-    async def end_lease(self, lease):
-        return self._answer("end", None)
+    async def remove(self, written):
+        return self._answer("remove", None)
 
     def _answer(self, call, value):
         self.calls.append(call)
@@ -56,7 +56,7 @@
 async def test_a_slow_rank_is_announced_until_it_recovers(autojump_clock):
     notices = FakeNotices()
     await play(notices, [(1.0, 3.0, None), (5.0, 1.0, None), (1.0, 3.0, None)])
-    assert notices.calls == ["announce 5.0", "end"]
+    assert notices.calls == ["announce 5.0", "remove"]
 
 
 async def test_a_rank_near_the_limit_does_not_write_again_and_again(autojump_clock):
@@ -65,7 +65,7 @@
     step_s = 2 * CHECK_INTERVAL_S
     await play(notices, [(1.5, step_s, None), (1.65, step_s, None)] * 3)
     assert notices.calls[0] == "announce 1.65"
-    assert not {"end", "announce 1.5"} & set(notices.calls)
+    assert not {"remove", "announce 1.5"} & set(notices.calls)
 
 
 async def test_a_notice_is_renewed_and_written_anew_after_its_lease(autojump_clock):
@@ -108,8 +108,8 @@
         nursery.start_soon(follow, client, state, trio.current_time)
         await wait_until(lambda: len(state.upstreams_of("svc")) == 2)
         slow, other = sorted(state.upstreams_of("svc"), key=lambda one: one.instance)
-        lease = await client.announce_slow(ADDRESS, 5.0, 6.0)
-        assert isinstance(lease, Ok)
+        notice = await client.announce_slow(ADDRESS, 5.0, 6.0)
+        assert isinstance(notice, Ok)
         await wait_until(lambda: state.slowness(slow) == 5.0)
         assert state.slowness(other) == 1.0
         other.in_flight = 2
@@ -123,8 +123,8 @@
         assert [one.address for one in snapshot.value.slow] == [ADDRESS]
         assert snapshot.value.entries == frozenset()
         store.put("mustardfront/slow/10.0.0.2:80", b"not a number")
-        assert isinstance(await client.end_lease(lease.value), Ok)
+        assert isinstance(await client.remove(notice.value), Ok)
         await wait_until(lambda: state.slowness(slow) == 1.0)
         assert state.slowness(other) == 1.0
-        assert isinstance(await client.end_lease(lease.value), Err)
+        assert isinstance(await client.remove(notice.value), Err)
         nursery.cancel_scope.cancel()
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -6,8 +6,9 @@
 
 import trio
 
-from mustardfront.coordination.traffic import TrafficState, follow
+from mustardfront.coordination.traffic import TrafficState, follow, keep_announced
 from mustardfront.metrics import Metrics
+from mustardfront.results import Err, Ok
 from mustardfront_platform._store import open_store
 from platform_fakes import FakeStore, operator_config, running_store, worker_record
 
@@ -59,3 +60,43 @@
         await wait_until(lambda: state.get("i-7") is not None)
         assert state.version == 4
         nursery.cancel_scope.cancel()
+
+
+async def test_entry_is_announced_again_when_its_lease_number_was_given_out_again():
+    """Guards against an entry that renews another's lease and is not counted itself."""
+    store = FakeStore()
+    older = store.copy()
+    key = "mustardfront/entries/edge-1"
+
+    async def short_sleep(_: float) -> None:
+        await trio.sleep(0.01)
+
+    async with (
+        running_store(store),
+        open_store(store.address, Metrics()) as client,
+        trio.open_nursery() as nursery,
+    ):
+        nursery.start_soon(keep_announced, client, "edge-1", short_sleep)
+        await wait_until(lambda: key in store.items)
+        lease = store.items[key][2]
+        store.restore(older)
+        store.leases.add(lease)
+        await wait_until(lambda: key in store.items)
+        assert store.items[key][2] != lease
+        nursery.cancel_scope.cancel()
+
+
+async def test_notice_that_ends_leaves_the_leases_of_others_alone():
+    """Guards against an agent that ends another process's lease after a restore."""
+    store = FakeStore()
+    older = store.copy()
+    async with running_store(store), open_store(store.address, Metrics()) as client:
+        notice = await client.announce_slow(("10.0.0.1", 80), 5.0, 6.0)
+        assert isinstance(notice, Ok)
+        store.restore(older)
+        announced = await client.announce("edge-1", 10.0)
+        assert isinstance(announced, Ok)
+        assert announced.value.lease == notice.value.lease
+        assert isinstance(await client.remove(notice.value), Err)
+        assert "mustardfront/entries/edge-1" in store.items
+        assert isinstance(await client.renew_lease(announced.value), Ok)
