Count entries after the store's return until they could be announced again

After an outage in which leases lapsed, or a restore, an entry counted only those entries that the store still listed. Alone on the list, it took the whole retry budget and all rates of upstreams as its share, for up to three seconds.

Cause: a missing announcement was taken as the end of an entry at once, while upstreams have a grace; and announcements were checked every 3 s, later than that grace ends. Entries now have the same grace, and each entry checks its announcement as soon as its view sees the store return. On the code before, the first test finds one entry of three; the announcement of the second test is back after 3 s, beyond the grace of 1.8 s.

--- a/src/mustardfront/coordination/traffic/_feed.py
+++ b/src/mustardfront/coordination/traffic/_feed.py
@@ -133,13 +133,16 @@
     """The view that ``follow`` keeps current."""
 
     def replace(self, snapshot: Snapshot, keep_missing: bool) -> None:
-        """Apply a snapshot; ``keep_missing`` marks missing upstreams as lapsed."""
+        """Apply a snapshot; ``keep_missing`` marks missing announcements as lapsed."""
 
     def apply(self, change: Change, keep_missing: bool) -> None:
         """Apply one change."""
 
     def drop_lapsed(self) -> None:
-        """Remove the upstreams that were kept without an announcement."""
+        """Remove what was kept without an announcement."""
+
+    def handle_store_return(self) -> None:
+        """Note that the store is back after an outage, or from an older copy."""
 
     def confirm(self, began_s: float) -> None:
         """Record that the view was complete at ``began_s``."""
@@ -165,7 +168,10 @@
 async def keep_announced(
     feed: Feed, name: str, sleep: Callable[[float], Awaitable[None]] = trio.sleep
 ) -> None:
-    """Keep an entry announced until cancelled, so that others can count it."""
+    """Keep an entry announced until cancelled, so that others can count it.
+
+    ``sleep`` may return early to have the announcement checked at once.
+    """
     announced: LeasedKey | None = None
     while True:
         if announced is None:
@@ -252,6 +258,7 @@
 
     def _begin_grace(self) -> None:
         self._grace_until = self._clock() + LAPSED_GRACE_S
+        self._view.handle_store_return()
 
     def _in_grace(self) -> bool:
         return self._grace_until is not None and self._clock() < self._grace_until
--- a/src/mustardfront/coordination/traffic/_upstreams.py
+++ b/src/mustardfront/coordination/traffic/_upstreams.py
@@ -86,6 +86,9 @@
         self._clock = clock
         self._confirmed_s: float | None = None
         self.entries: frozenset[str] = frozenset()
+        # Those of the entries that the store does not list after an outage.
+        self._lapsed_entries: frozenset[str] = frozenset()
+        self._store_returned = trio.Event()
         self._upstreams: dict[str, Upstream] = {}
         # The born_ms of incarnations that were replaced at their address, even if the
         # store still announces them.
@@ -121,10 +124,12 @@
         return self._upstreams.get(instance)
 
     def replace(self, snapshot: Snapshot, keep_missing: bool) -> None:
-        """Apply a snapshot; ``keep_missing`` marks missing upstreams as lapsed."""
+        """Apply a snapshot; ``keep_missing`` marks missing announcements as lapsed."""
         if snapshot.config is not None:
             self._apply_config(snapshot.config)
-        self._set_entries(snapshot.entries)
+        missing = self.entries - snapshot.entries
+        self._lapsed_entries = missing if keep_missing else frozenset()
+        self._set_entries(snapshot.entries | self._lapsed_entries)
         self._slowness = {one.address: one.slowness for one in snapshot.slow}
         for report in snapshot.crashes:
             self.crash_evidence.record_crash(report)
@@ -151,6 +156,7 @@
             self._apply_config(change)
         elif isinstance(change, EntryChange):
             others = self.entries - {change.name}
+            self._lapsed_entries -= {change.name}
             self._set_entries(others if change.is_gone else others | {change.name})
         elif isinstance(change, UpstreamGone):
             self._remove_upstream(change.instance, keep_missing)
@@ -163,12 +169,24 @@
         self.rate_limits.set_entries(entries)
 
     def drop_lapsed(self) -> None:
-        """Remove the upstreams that were not announced again after a store outage."""
+        """Remove what was not announced again after a store outage."""
+        self._set_entries(self.entries - self._lapsed_entries)
+        self._lapsed_entries = frozenset()
         for upstream in tuple(self._upstreams.values()):
             if upstream.lapsed:
                 self._remove_upstream(upstream.instance, keep=False)
         self._rebuild_index()
 
+    def handle_store_return(self) -> None:
+        """Wake the tasks that announce something."""
+        returned, self._store_returned = self._store_returned, trio.Event()
+        returned.set()
+
+    async def sleep_until_store_returns(self, delay_s: float) -> None:
+        """Sleep for ``delay_s``, or until the store is back after an outage."""
+        with trio.move_on_after(delay_s):
+            await self._store_returned.wait()
+
     def confirm(self, began_s: float) -> None:
         """Record that the view was complete at ``began_s``."""
         self._confirmed_s = max(began_s, self._confirmed_s or began_s)
--- a/src/mustardfront/programs/gateway/_main.py
+++ b/src/mustardfront/programs/gateway/_main.py
@@ -201,7 +201,8 @@
 ) -> None:
     feed: Feed
     async with open_feed(metrics) as feed, trio.open_nursery() as nursery:
-        nursery.start_soon(keep_announced, feed, host)
+        sleep = fwd.state.sleep_until_store_returns
+        nursery.start_soon(keep_announced, feed, host, sleep)
         nursery.start_soon(fwd.crash_reporter.run, feed.report_crash)
         nursery.start_soon(_announce_rate_limits, feed, fwd)
         await follow(feed, fwd.state, clock)
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -6,7 +6,14 @@
 
 import trio
 
-from mustardfront.coordination.traffic import TrafficState, follow, keep_announced
+from mustardfront.coordination.traffic import (
+    EntryChange,
+    Snapshot,
+    TrafficState,
+    follow,
+    keep_announced,
+)
+from mustardfront.coordination.traffic._feed import LAPSED_GRACE_S
 from mustardfront.metrics import Metrics
 from mustardfront.results import Err, Ok
 from mustardfront_platform._store import open_store
@@ -100,3 +107,37 @@
         assert isinstance(await client.remove(notice.value), Err)
         assert "mustardfront/entries/edge-1" in store.items
         assert isinstance(await client.renew_lease(announced.value), Ok)
+
+
+def test_entries_that_a_restored_store_lacks_count_until_they_could_be_back():
+    """Guards against budgets that are divided by too few entries after a restore."""
+    state = TrafficState(lambda: 100.0, "e1")
+    state.replace(Snapshot(9, None, {}, frozenset({"e1", "e2", "e3"})), False)
+    state.replace(Snapshot(4, None, {}, frozenset({"e1"}), era=2), True)
+    assert state.entries == {"e1", "e2", "e3"}
+    state.apply(EntryChange("e2"), keep_missing=True)
+    state.drop_lapsed()
+    assert state.entries == {"e1", "e2"}
+
+
+async def test_entry_is_announced_again_as_soon_as_the_store_is_back():
+    """Guards against an entry that others drop before it renews its announcement."""
+    store = FakeStore()
+    older = store.copy()
+    state = TrafficState(trio.current_time)
+    key = "mustardfront/entries/edge-1"
+    async with (
+        running_store(store),
+        open_store(store.address, Metrics()) as client,
+        trio.open_nursery() as nursery,
+    ):
+        pause = state.sleep_until_store_returns
+        nursery.start_soon(keep_announced, client, "edge-1", pause)
+        await wait_until(lambda: key in store.items)
+        nursery.start_soon(follow, client, state, trio.current_time)
+        await wait_until(lambda: "edge-1" in state.entries)
+        store.restore(older)
+        store.put("op/config", operator_config())
+        with trio.fail_after(LAPSED_GRACE_S):
+            await wait_until(lambda: key in store.items)
+        nursery.cancel_scope.cancel()
--- a/tests/test_traffic_feed.py
+++ b/tests/test_traffic_feed.py
@@ -50,6 +50,9 @@
     def drop_lapsed(self):
         pass
 
+    def handle_store_return(self):
+        pass
+
     def confirm(self, began_s):
         pass
 
