Announce rate limits again that a restored store lost

An entry that starts after a restore did not learn the rates that upstreams had named in the lost seconds, and sent those upstreams more than they take; running entries could take a rate that had ended from the copy.

Cause: who had read a limit relied on its announcement being in the store for good. The tests have no counterpart before: nothing told an entry of a restore.

--- a/src/mustardfront/coordination/traffic/_rate_limits.py
+++ b/src/mustardfront/coordination/traffic/_rate_limits.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 from typing import Final
 
@@ -104,6 +104,24 @@
             del self._announced[next(iter(self._announced))]
         self.record(notice, source="store")
 
+    def replace_announced(self, notices: Iterable[RateLimitNotice]) -> None:
+        """Take over the notices of a store that lost its last writes.
+
+        What this entry knows of an upstream is newer than a notice that is left.
+        """
+        known = self._limits.keys() | self._announced.keys()
+        self._announced = {}
+        for notice in notices:
+            if notice.incarnation in known:
+                self._announced[notice.incarnation] = notice
+            else:
+                self.record_announced(notice)
+
+    def missing_notices(self) -> list[RateLimitNotice]:
+        """Return the limits known here that the other entries lack."""
+        notices = map(self.named, self._limits.keys() | self._announced.keys())
+        return [one for one in notices if self.needs_announcement(one)]
+
     def needs_announcement(self, notice: RateLimitNotice) -> bool:
         """Return whether a notice still holds and the other entries lack it."""
         announced = self._announced.get(notice.incarnation)
--- a/src/mustardfront/coordination/traffic/_upstreams.py
+++ b/src/mustardfront/coordination/traffic/_upstreams.py
@@ -97,6 +97,8 @@
         # By address; an agent knows the upstream on its host by its address.
         self._slowness: dict[tuple[str, int], float] = {}
         self._listeners: list[Callable[[], None]] = []
+        self._restore_listeners: list[Callable[[], None]] = []
+        self._era: int | None = None
         self.crash_evidence = CrashEvidence(clock)
         self.rate_limits = RateLimits(clock, entry)
 
@@ -104,6 +106,10 @@
         """Call ``listener`` after each change of the configuration or upstreams."""
         self._listeners.append(listener)
 
+    def on_restore(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after the store came back without its last writes."""
+        self._restore_listeners.append(listener)
+
     @property
     def version(self) -> int:
         """Return the configuration's version; 0 before the first."""
@@ -133,13 +139,21 @@
         self._slowness = {one.address: one.slowness for one in snapshot.slow}
         for report in snapshot.crashes:
             self.crash_evidence.record_crash(report)
-        for notice in snapshot.rate_limits:
-            self.rate_limits.record_announced(notice)
+        is_restored = self._era not in (None, snapshot.era)
+        self._era = snapshot.era
+        if is_restored:
+            self.rate_limits.replace_announced(snapshot.rate_limits)
+        else:
+            for notice in snapshot.rate_limits:
+                self.rate_limits.record_announced(notice)
         for announced in snapshot.upstreams.values():
             self._apply_announcement(announced)
         for instance in self._upstreams.keys() - snapshot.upstreams.keys():
             self._remove_upstream(instance, keep_missing)
         self._rebuild_index()
+        if is_restored:
+            for listener in self._restore_listeners:
+                listener()
 
     def apply(self, change: Change, keep_missing: bool) -> None:
         """Apply one change."""
--- a/src/mustardfront/programs/gateway/_main.py
+++ b/src/mustardfront/programs/gateway/_main.py
@@ -217,6 +217,11 @@
         written = await feed.announce_rate_limit(notice, NOTICE_LEASE_S)
         return written if isinstance(written, Err) else Ok(None)
 
+    def announce_missing() -> None:
+        for notice in fwd.state.rate_limits.missing_notices():
+            fwd.rate_limit_notices.put(notice.incarnation, notice)
+
+    fwd.state.on_restore(announce_missing)
     await fwd.rate_limit_notices.run(announce)
 
 
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -4,10 +4,14 @@
 
 from collections.abc import Awaitable, Callable
 
+import pytest
 import trio
 
+from gateway_fakes import gateway
 from mustardfront.coordination.traffic import (
     EntryChange,
+    RateLimitNotice,
+    RateLimits,
     Snapshot,
     TrafficState,
     follow,
@@ -15,6 +19,7 @@
 )
 from mustardfront.coordination.traffic._feed import LAPSED_GRACE_S
 from mustardfront.metrics import Metrics
+from mustardfront.programs.gateway._main import _announce_rate_limits
 from mustardfront.results import Err, Ok
 from mustardfront_platform._store import open_store
 from platform_fakes import FakeStore, operator_config, running_store, worker_record
@@ -141,3 +146,42 @@
         with trio.fail_after(LAPSED_GRACE_S):
             await wait_until(lambda: key in store.items)
         nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("now_per_s", [4.0, None])
+def test_rate_limit_that_a_restored_store_lost_is_announced_again(now_per_s):
+    """Guards against an entry that starts later and exceeds a limit others know."""
+    limits = RateLimits(lambda: 100.0, "e1")
+    older, newer = RateLimitNotice("u1.5", 1.0), RateLimitNotice("u1.5", now_per_s)
+    unknown = RateLimitNotice("u2.5", 2.0)
+    limits.record_announced(older)
+    limits.record(newer, source="response")
+    limits.record_announced(newer)
+    assert limits.missing_notices() == []
+    limits.replace_announced([older, unknown])
+    assert limits.named("u1.5") == newer
+    assert limits.named("u2.5") == unknown
+    assert limits.missing_notices() == [newer]
+
+
+async def test_entry_announces_lost_rate_limits_after_a_restore():
+    """Guards against rate limits that are known but written by nobody again."""
+    store = FakeStore()
+    older = store.copy()
+    async with gateway({}) as gw, running_store(store):
+        fwd = gw.frontend.forwarder
+        async with (
+            open_store(store.address, Metrics()) as client,
+            trio.open_nursery() as nursery,
+        ):
+            nursery.start_soon(_announce_rate_limits, client, fwd)
+            nursery.start_soon(follow, client, gw.state, trio.current_time)
+            notice = RateLimitNotice("u1.5", 2.0)
+            gw.state.rate_limits.record(notice, source="response")
+            fwd.rate_limit_notices.put("u1.5", notice)
+            await wait_until(lambda: "mustardfront/limits/u1.5" in store.items)
+            await wait_until(lambda: not gw.state.rate_limits.missing_notices())
+            store.restore(older)
+            store.put("op/config", operator_config())
+            await wait_until(lambda: "mustardfront/limits/u1.5" in store.items)
+            nursery.cancel_scope.cancel()
