Write crash reports again that a restored store lost

An entry that starts after a restore forwarded prompt parts that had crashed upstreams in the lost seconds, and crashed further ones.

Cause: a report was forgotten by its writer once the store had taken it. An entry now keeps its reports while their crashes count, writes them again after a restore, and adds a later suspect of the same crash to its report instead of replacing the earlier ones. The test has no counterpart before: a written report was gone from the entry.

--- a/src/mustardfront/programs/gateway/_crash.py
+++ b/src/mustardfront/programs/gateway/_crash.py
@@ -23,6 +23,8 @@
 LISTEN_CHECK_TIMEOUT_S: Final = 0.2
 # The requests that a crash cut off end within this time and are reported together.
 REPORT_DELAY_S: Final = 0.1
+# Bounds a report; readers count no more suspects of a crash either.
+REPORT_SUSPECTS_MAX: Final = 32
 
 WriteReport = Callable[[CrashReport, float], Awaitable[Result[LeasedKey]]]
 
@@ -49,17 +51,33 @@
         self._entry = entry
         self._evidence = evidence
         self._outbox = Outbox[CrashReport](lambda: REPORT_DELAY_S)
+        # This entry's reports of unexpired crashes.
+        self._reports: dict[str, CrashReport] = {}
 
     def record(self, upstream: Upstream, content: RequestContent) -> None:
         """Record that a request waited for its first output at a crash."""
         crash = upstream.incarnation
-        before = self._outbox.get(crash)
+        before = self._reports.get(crash)
         suspects = (*before.suspects, content) if before else (content,)
         sound = self._evidence.sound_parts(crash, suspects)
+        suspects = suspects[:REPORT_SUSPECTS_MAX]
         report = CrashReport(crash, self._entry, suspects, tuple(sound))
         self._evidence.record_crash(report)
+        self._reports[crash] = report
+        self._drop_expired()
         self._outbox.put(crash, report)
 
+    def repeat(self) -> None:
+        """Write all reports again, for a store that lost its last writes."""
+        self._drop_expired()
+        for crash, report in self._reports.items():
+            self._outbox.put(crash, report)
+
+    def _drop_expired(self) -> None:
+        unexpired = self._evidence.suspects_by_crash()
+        for crash in self._reports.keys() - unexpired.keys():
+            del self._reports[crash]
+
     async def run(self, write: WriteReport) -> None:
         """Write the reports until cancelled."""
 
--- a/src/mustardfront/programs/gateway/_main.py
+++ b/src/mustardfront/programs/gateway/_main.py
@@ -260,6 +260,8 @@
     def is_ready() -> bool:
         return state.routes is not None and not is_view_unconfirmed()
 
+    crash_reporter = CrashReporter(settings.host, state.crash_evidence)
+    state.on_restore(crash_reporter.repeat)
     frontend = Frontend(
         forwarder=Forwarder(
             state,
@@ -267,7 +269,7 @@
             settings.place,
             budget_of,
             is_view_unconfirmed,
-            CrashReporter(settings.host, state.crash_evidence),
+            crash_reporter,
             Outbox(lambda: random.uniform(*NOTICE_DELAY_S)),
             own_upstreams,
         ),
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -7,18 +7,21 @@
 import pytest
 import trio
 
-from gateway_fakes import gateway
+from gateway_fakes import gateway, instance
+from mustardfront.coordination.quarantine import CrashEvidence, RequestContent
 from mustardfront.coordination.traffic import (
     EntryChange,
     RateLimitNotice,
     RateLimits,
     Snapshot,
     TrafficState,
+    Upstream,
     follow,
     keep_announced,
 )
 from mustardfront.coordination.traffic._feed import LAPSED_GRACE_S
 from mustardfront.metrics import Metrics
+from mustardfront.programs.gateway._crash import CrashReporter
 from mustardfront.programs.gateway._main import _announce_rate_limits
 from mustardfront.results import Err, Ok
 from mustardfront_platform._store import open_store
@@ -164,6 +167,27 @@
     assert limits.missing_notices() == [newer]
 
 
+async def test_crash_report_that_a_restored_store_lost_is_written_again():
+    """Guards against an entry that starts later and forwards what crashes upstreams."""
+    store = FakeStore()
+    older = store.copy()
+    evidence = CrashEvidence(trio.current_time)
+    reporter = CrashReporter("e1", evidence)
+    crashed = Upstream(instance("u1", ("10.0.0.1", 80), "svc"))
+    async with (
+        running_store(store),
+        open_store(store.address, Metrics()) as client,
+        trio.open_nursery() as nursery,
+    ):
+        nursery.start_soon(reporter.run, client.report_crash)
+        reporter.record(crashed, RequestContent("f1", ("p",)))
+        await wait_until(lambda: "mustardfront/crashes/u1.0/e1" in store.items)
+        store.restore(older)
+        reporter.repeat()
+        await wait_until(lambda: "mustardfront/crashes/u1.0/e1" in store.items)
+        nursery.cancel_scope.cancel()
+
+
 async def test_entry_announces_lost_rate_limits_after_a_restore():
     """Guards against rate limits that are known but written by nobody again."""
     store = FakeStore()
