Take no older announcement of an upstream from a restored store

Callers' requests went to upstreams that had announced their drain, or had left, in the seconds that the store lost: the copy lists them as ready until they write again.

Cause: the store's latest answer was taken as the latest state. Class: state that goes back with its source. An upstream counts its announcements, so an entry now ignores those of a known process with a lower number, and in the first read of an era also those of processes that it has seen removed with that number or a higher one. Higher numbers and other processes are taken over, so an upstream that runs is back with its next announcement. Both tests fail on the code before, which takes the upstream as ready.

--- a/src/mustardfront/coordination/traffic/_upstreams.py
+++ b/src/mustardfront/coordination/traffic/_upstreams.py
@@ -93,6 +93,9 @@
         # The born_ms of incarnations that were replaced at their address, even if the
         # store still announces them.
         self._ended_incarnations: dict[str, int] = {}
+        # The last announcements of those that the store no longer listed. A store that
+        # comes back from an older copy may list them again.
+        self._removed: dict[str, UpstreamInstance] = {}
         self._by_service: dict[str, tuple[Upstream, ...]] = {}
         # By address; an agent knows the upstream on its host by its address.
         self._slowness: dict[tuple[str, int], float] = {}
@@ -147,7 +150,8 @@
             for notice in snapshot.rate_limits:
                 self.rate_limits.record_announced(notice)
         for announced in snapshot.upstreams.values():
-            self._apply_announcement(announced)
+            if not (is_restored and self._was_removed(announced)):
+                self._apply_announcement(announced)
         for instance in self._upstreams.keys() - snapshot.upstreams.keys():
             self._remove_upstream(instance, keep_missing)
         self._rebuild_index()
@@ -297,6 +301,10 @@
         known = self._upstreams.get(announced.instance)
         if known is None or known.announced.born_ms != announced.born_ms:
             known = self._upstreams[announced.instance] = Upstream(announced)
+            self._removed.pop(announced.instance, None)
+        elif announced.sequence < known.announced.sequence:
+            # A restored store lists older announcements for a moment.
+            return
         changed = known.announced.state is not announced.state
         known.announced, known.lapsed = announced, False
         self._remove_predecessors(announced)
@@ -307,6 +315,15 @@
                 state=announced.state.value,
             )
 
+    def _was_removed(self, announced: UpstreamInstance) -> bool:
+        """Return whether the store removed this announcement or a later one before."""
+        removed = self._removed.get(announced.instance)
+        return (
+            removed is not None
+            and removed.born_ms == announced.born_ms
+            and removed.sequence >= announced.sequence
+        )
+
     def _remove_predecessors(self, announced: UpstreamInstance) -> None:
         """Remove earlier incarnations at the same address; they have ended."""
         for other in tuple(self._upstreams.values()):
@@ -322,6 +339,9 @@
             known.lapsed = True
             return
         del self._upstreams[instance]
+        self._removed[instance] = known.announced
+        while len(self._removed) > ENDED_MAX:
+            del self._removed[next(iter(self._removed))]
         self.rate_limits.forget(known.incarnation)
         if not keep and len(self._ended_incarnations) > ENDED_MAX:
             self._ended_incarnations.clear()
--- a/src/mustardfront/state/_traffic.py
+++ b/src/mustardfront/state/_traffic.py
@@ -139,7 +139,8 @@
     """One process of an upstream, as it announced itself.
 
     ``instance`` is its name; ``born_ms`` distinguishes processes that had the same
-    name. ``seat`` is None for an upstream that is in no group.
+    name, ``sequence`` orders the announcements of one process. ``seat`` is None for an
+    upstream that is in no group.
     """
 
     instance: str
@@ -150,4 +151,5 @@
     slots: int = 1
     warmup_ms: float = 0.0
     born_ms: int = 0
+    sequence: int = 0
     seat: RankPosition | None = None
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import pytest
 import trio
@@ -16,6 +17,7 @@
     Snapshot,
     TrafficState,
     Upstream,
+    UpstreamGone,
     follow,
     keep_announced,
 )
@@ -24,6 +26,7 @@
 from mustardfront.programs.gateway._crash import CrashReporter
 from mustardfront.programs.gateway._main import _announce_rate_limits
 from mustardfront.results import Err, Ok
+from mustardfront.state import UpstreamInstance, UpstreamState
 from mustardfront_platform._store import open_store
 from platform_fakes import FakeStore, operator_config, running_store, worker_record
 
@@ -167,6 +170,39 @@
     assert limits.missing_notices() == [newer]
 
 
+def restore(state: TrafficState, upstream: UpstreamInstance, era: int = 2) -> None:
+    """Apply the first snapshot of an era, which lists one upstream."""
+    snapshot = Snapshot(1, None, {upstream.instance: upstream}, era=era)
+    state.replace(snapshot, keep_missing=True)
+
+
+def test_draining_upstream_is_not_ready_again_after_a_restore():
+    """Guards against requests at an upstream whose drain only the copy lacks."""
+    state = TrafficState(lambda: 100.0)
+    ready = replace(instance("u1", ("10.0.0.1", 80), "svc"), sequence=4)
+    draining = replace(ready, state=UpstreamState.DRAINING, sequence=9)
+    state.replace(Snapshot(5, None, {"u1": ready}, era=1), keep_missing=False)
+    state.apply(draining, keep_missing=False)
+    restore(state, ready)
+    assert state.upstreams_of("svc") == ()
+
+
+def test_upstream_that_left_is_not_back_after_a_restore():
+    """Guards against requests at an upstream whose removal only the copy lacks."""
+    state = TrafficState(lambda: 100.0)
+    old = replace(instance("u1", ("10.0.0.1", 80), "svc"), born_ms=7, sequence=4)
+    state.replace(Snapshot(5, None, {"u1": old}, era=1), keep_missing=False)
+    state.apply(UpstreamGone("u1"), keep_missing=False)
+    restore(state, old)
+    assert state.upstreams_of("svc") == ()
+    # It runs: it announces itself again, or another process has its name.
+    state.apply(replace(old, sequence=5), keep_missing=False)
+    assert len(state.upstreams_of("svc")) == 1
+    state.apply(UpstreamGone("u1"), keep_missing=False)
+    restore(state, replace(old, born_ms=8, sequence=1), era=3)
+    assert len(state.upstreams_of("svc")) == 1
+
+
 async def test_crash_report_that_a_restored_store_lost_is_written_again():
     """Guards against an entry that starts later and forwards what crashes upstreams."""
     store = FakeStore()
