Let a starting entry wait for a configuration that a restore lost

An entry that started just after the store was restored, before the operator's last configurations were written again, served keys that had been taken away and old routes, or answered 404 for routes that had been added.

Cause: a process without a memory takes whatever the store holds as the latest. Class: state that goes back with its source. The running entries know better: an entry's announcement now names the version that it has in force, and is written again after each restore. An entry whose own version is lower than any announced one is not ready and refuses requests as not run. What remains: an entry that reads before any running entry has written its announcement, some tenths of a second, serves the older version until then; and if no entry runs, nobody knows better than the store. The test fails without the check: the starting entry has version 3 in force and counts as ready.

--- a/src/mustardfront/coordination/traffic/_feed.py
+++ b/src/mustardfront/coordination/traffic/_feed.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from types import MappingProxyType
 from typing import Final, Protocol, TypeAlias
 
 import trio
@@ -48,7 +49,8 @@
     revision: int
     config: TrafficConfig | None
     upstreams: Mapping[str, UpstreamInstance]
-    entries: frozenset[str] = frozenset()
+    # The configuration version that each entry had in force when it was announced.
+    entries: Mapping[str, int] = field(default_factory=lambda: MappingProxyType({}))
     slow: tuple[SlowUpstream, ...] = ()
     # Oldest first.
     crashes: tuple[CrashReport, ...] = ()
@@ -65,10 +67,14 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryChange:
-    """Another entry, or this one, is announced or gone."""
+    """Another entry, or this one, is announced or gone.
+
+    ``config_version`` is the version that it had in force when it was announced.
+    """
 
     name: str
     is_gone: bool = False
+    config_version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,7 +118,9 @@
     async def wait_for_changes(self, after: int, wait_s: float) -> Result[Changes]:
         """Wait for changes; Err(STORE_HISTORY_GONE) when ``after`` is too old."""
 
-    async def announce(self, name: str, ttl_s: float) -> Result[LeasedKey]:
+    async def announce(
+        self, name: str, config_version: int, ttl_s: float
+    ) -> Result[LeasedKey]:
         """Announce an entry by a key under a new lease."""
 
     async def renew_lease(self, written: LeasedKey) -> Result[None]:
@@ -166,16 +174,21 @@
 
 
 async def keep_announced(
-    feed: Feed, name: str, sleep: Callable[[float], Awaitable[None]] = trio.sleep
+    feed: Feed,
+    name: str,
+    config_version: Callable[[], int],
+    sleep: Callable[[float], Awaitable[None]] = trio.sleep,
 ) -> None:
     """Keep an entry announced until cancelled, so that others can count it.
 
+    After a restore of the store the announcement is written again, which tells entries
+    that start then the least version that the configuration must have.
     ``sleep`` may return early to have the announcement checked at once.
     """
     announced: LeasedKey | None = None
     while True:
         if announced is None:
-            made = await feed.announce(name, ENTRY_LEASE_S)
+            made = await feed.announce(name, config_version(), ENTRY_LEASE_S)
             announced = None if isinstance(made, Err) else made.value
         else:
             kept = await feed.renew_lease(announced)
--- a/src/mustardfront/coordination/traffic/_rate_limits.py
+++ b/src/mustardfront/coordination/traffic/_rate_limits.py
@@ -66,7 +66,7 @@
         # The latest notices in the store.
         self._announced: dict[str, RateLimitNotice] = {}
 
-    def set_entries(self, entries: Collection[str]) -> None:
+    def set_entries(self, entries: Iterable[str]) -> None:
         """Divide the limits among these entries and this one from now on."""
         new = frozenset((*entries, self._entry))
         if new != self._entries:
--- a/src/mustardfront/coordination/traffic/_upstreams.py
+++ b/src/mustardfront/coordination/traffic/_upstreams.py
@@ -86,6 +86,9 @@
         self._clock = clock
         self._confirmed_s: float | None = None
         self.entries: frozenset[str] = frozenset()
+        # The configuration version that each entry was announced with, and the highest.
+        self._entry_versions: dict[str, int] = {}
+        self._entries_version = 0
         # Those of the entries that the store does not list after an outage.
         self._lapsed_entries: frozenset[str] = frozenset()
         self._store_returned = trio.Event()
@@ -118,6 +121,15 @@
         """Return the configuration's version; 0 before the first."""
         return self.routes.config.version if self.routes else 0
 
+    @property
+    def is_outdated(self) -> bool:
+        """Return whether an entry was announced with a later configuration.
+
+        An entry that starts just after a restore of the store reads an older
+        configuration there, until the operator has written the later one again.
+        """
+        return self.version < self._entries_version
+
     def age_s(self) -> float:
         """Return the seconds since the view was last known to be complete."""
         if self._confirmed_s is None:
@@ -134,11 +146,12 @@
 
     def replace(self, snapshot: Snapshot, keep_missing: bool) -> None:
         """Apply a snapshot; ``keep_missing`` marks missing announcements as lapsed."""
+        missing = self.entries - snapshot.entries.keys()
+        self._lapsed_entries = missing if keep_missing else frozenset()
+        kept = {name: self._entry_versions[name] for name in self._lapsed_entries}
+        self._set_entries(kept | dict(snapshot.entries))
         if snapshot.config is not None:
             self._apply_config(snapshot.config)
-        missing = self.entries - snapshot.entries
-        self._lapsed_entries = missing if keep_missing else frozenset()
-        self._set_entries(snapshot.entries | self._lapsed_entries)
         self._slowness = {one.address: one.slowness for one in snapshot.slow}
         for report in snapshot.crashes:
             self.crash_evidence.record_crash(report)
@@ -173,22 +186,33 @@
         if isinstance(change, TrafficConfig):
             self._apply_config(change)
         elif isinstance(change, EntryChange):
-            others = self.entries - {change.name}
+            versions = dict(self._entry_versions)
+            versions.pop(change.name, None)
+            if not change.is_gone:
+                versions[change.name] = change.config_version
             self._lapsed_entries -= {change.name}
-            self._set_entries(others if change.is_gone else others | {change.name})
+            self._set_entries(versions)
         elif isinstance(change, UpstreamGone):
             self._remove_upstream(change.instance, keep_missing)
         else:
             self._apply_announcement(change)
         self._rebuild_index()
 
-    def _set_entries(self, entries: frozenset[str]) -> None:
-        self.entries = entries
-        self.rate_limits.set_entries(entries)
+    def _set_entries(self, versions: dict[str, int]) -> None:
+        self._entry_versions = versions
+        self._entries_version = max(versions.values(), default=0)
+        self.entries = frozenset(versions)
+        self.rate_limits.set_entries(versions.keys())
 
     def drop_lapsed(self) -> None:
         """Remove what was not announced again after a store outage."""
-        self._set_entries(self.entries - self._lapsed_entries)
+        self._set_entries(
+            {
+                name: version
+                for name, version in self._entry_versions.items()
+                if name not in self._lapsed_entries
+            }
+        )
         self._lapsed_entries = frozenset()
         for upstream in tuple(self._upstreams.values()):
             if upstream.lapsed:
--- a/src/mustardfront/programs/gateway/_main.py
+++ b/src/mustardfront/programs/gateway/_main.py
@@ -201,8 +201,14 @@
 ) -> None:
     feed: Feed
     async with open_feed(metrics) as feed, trio.open_nursery() as nursery:
-        sleep = fwd.state.sleep_until_store_returns
-        nursery.start_soon(keep_announced, feed, host, sleep)
+        state = fwd.state
+        nursery.start_soon(
+            keep_announced,
+            feed,
+            host,
+            lambda: state.version,
+            state.sleep_until_store_returns,
+        )
         nursery.start_soon(fwd.crash_reporter.run, feed.report_crash)
         nursery.start_soon(_announce_rate_limits, feed, fwd)
         await follow(feed, fwd.state, clock)
@@ -258,7 +264,8 @@
         return limit_s is not None and state.age_s() > limit_s
 
     def is_ready() -> bool:
-        return state.routes is not None and not is_view_unconfirmed()
+        is_configured = state.routes is not None and not state.is_outdated
+        return is_configured and not is_view_unconfirmed()
 
     crash_reporter = CrashReporter(settings.host, state.crash_evidence)
     state.on_restore(crash_reporter.repeat)
--- a/src/mustardfront/programs/gateway/_request.py
+++ b/src/mustardfront/programs/gateway/_request.py
@@ -78,6 +78,8 @@
     table = state.routes
     if table is None:
         return Err(Code.NOT_READY, "this entry has no configuration yet")
+    if state.is_outdated:
+        return Err(Code.NOT_READY, "other entries have a later configuration")
     headers = {name.lower(): value for name, value in scope["headers"]}
     path = scope["raw_path"].decode("latin-1")
     route = table.match(headers.get(b"host", b"").decode("latin-1"), path)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -193,7 +193,9 @@
 
     async with running_store() as store, open_store(store.address, Metrics()) as client:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(partial(keep_announced, client, "edge-1", short_sleep))
+            nursery.start_soon(
+                partial(keep_announced, client, "edge-1", lambda: 1, short_sleep)
+            )
             await wait_until(lambda: "mustardfront/entries/edge-1" in store.items)
             store.remove("mustardfront/entries/edge-1")
             store.leases.clear()
@@ -201,7 +203,7 @@
             nursery.cancel_scope.cancel()
         changes = await client.wait_for_changes(1, 0.05)
         assert isinstance(changes, Ok)
-        assert EntryChange("edge-1") in changes.value.changes
+        assert EntryChange("edge-1", config_version=1) in changes.value.changes
 
 
 async def test_view_keeps_lapsed_upstreams_for_a_time_after_an_outage(monkeypatch):
--- a/tests/test_slow_ranks.py
+++ b/tests/test_slow_ranks.py
@@ -121,7 +121,7 @@
         snapshot = await client.snapshot()
         assert isinstance(snapshot, Ok)
         assert [one.address for one in snapshot.value.slow] == [ADDRESS]
-        assert snapshot.value.entries == frozenset()
+        assert snapshot.value.entries == {}
         store.put("mustardfront/slow/10.0.0.2:80", b"not a number")
         assert isinstance(await client.remove(notice.value), Ok)
         await wait_until(lambda: state.slowness(slow) == 1.0)
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -94,7 +94,7 @@
         open_store(store.address, Metrics()) as client,
         trio.open_nursery() as nursery,
     ):
-        nursery.start_soon(keep_announced, client, "edge-1", short_sleep)
+        nursery.start_soon(keep_announced, client, "edge-1", lambda: 1, short_sleep)
         await wait_until(lambda: key in store.items)
         lease = store.items[key][2]
         store.restore(older)
@@ -112,7 +112,7 @@
         notice = await client.announce_slow(("10.0.0.1", 80), 5.0, 6.0)
         assert isinstance(notice, Ok)
         store.restore(older)
-        announced = await client.announce("edge-1", 10.0)
+        announced = await client.announce("edge-1", 1, 10.0)
         assert isinstance(announced, Ok)
         assert announced.value.lease == notice.value.lease
         assert isinstance(await client.remove(notice.value), Err)
@@ -123,8 +123,8 @@
 def test_entries_that_a_restored_store_lacks_count_until_they_could_be_back():
     """Guards against budgets that are divided by too few entries after a restore."""
     state = TrafficState(lambda: 100.0, "e1")
-    state.replace(Snapshot(9, None, {}, frozenset({"e1", "e2", "e3"})), False)
-    state.replace(Snapshot(4, None, {}, frozenset({"e1"}), era=2), True)
+    state.replace(Snapshot(9, None, {}, {"e1": 2, "e2": 2, "e3": 2}), False)
+    state.replace(Snapshot(4, None, {}, {"e1": 2}, era=2), True)
     assert state.entries == {"e1", "e2", "e3"}
     state.apply(EntryChange("e2"), keep_missing=True)
     state.drop_lapsed()
@@ -143,7 +143,7 @@
         trio.open_nursery() as nursery,
     ):
         pause = state.sleep_until_store_returns
-        nursery.start_soon(keep_announced, client, "edge-1", pause)
+        nursery.start_soon(keep_announced, client, "edge-1", lambda: 1, pause)
         await wait_until(lambda: key in store.items)
         nursery.start_soon(follow, client, state, trio.current_time)
         await wait_until(lambda: "edge-1" in state.entries)
@@ -203,6 +203,40 @@
     assert len(state.upstreams_of("svc")) == 1
 
 
+async def test_starting_entry_waits_for_a_configuration_that_a_restore_lost():
+    """Guards against a key that was taken away and is valid again after a restart."""
+    store = FakeStore()
+    store.put("op/config", operator_config(3))
+    older = store.copy()
+    store.put("op/config", operator_config(4, tenants=[]))
+    running, starting = (TrafficState(trio.current_time) for _ in range(2))
+    async with (
+        running_store(store),
+        open_store(store.address, Metrics()) as client,
+        trio.open_nursery() as nursery,
+    ):
+        nursery.start_soon(
+            keep_announced,
+            client,
+            "edge-1",
+            lambda: running.version,
+            running.sleep_until_store_returns,
+        )
+        nursery.start_soon(follow, client, running, trio.current_time)
+        await wait_until(lambda: running.version == 4)
+        store.restore(older)
+        store.put("servers/i-1", worker_record("10.0.0.1:80"))
+        await wait_until(lambda: "mustardfront/entries/edge-1" in store.items)
+        nursery.start_soon(follow, client, starting, trio.current_time)
+        await wait_until(lambda: starting.routes is not None)
+        assert starting.is_outdated
+        assert not running.is_outdated
+        store.put("op/config", operator_config(4, tenants=[]))
+        await wait_until(lambda: not starting.is_outdated)
+        assert starting.version == 4
+        nursery.cancel_scope.cancel()
+
+
 async def test_crash_report_that_a_restored_store_lost_is_written_again():
     """Guards against an entry that starts later and forwards what crashes upstreams."""
     store = FakeStore()
