--- a/src/mustardfront/programs/gateway/_outbox.py
+++ b/src/mustardfront/programs/gateway/_outbox.py
@@ -27,6 +27,10 @@
         self._pending: dict[str, MessageT] = {}
         self._wakeup = trio.Event()
 
+    def get(self, key: str) -> MessageT | None:
+        """Return the message that waits under a key."""
+        return self._pending.get(key)
+
     def put(self, key: str, message: MessageT) -> None:
         """Add a message, or replace the one under its key."""
         self._pending[key] = message
