Use no state of a rank of another group or position

Where a rank of another group has one of these addresses by now, the coordinator locked it, took its state for a member's and would have sent it orders of its own group: two ranks of a group could begin a step with different maps.

Cause: answers were taken as those of the expected rank without a check. An agent now refuses a query for another group and keeps its lock free; the coordinator drops states of other groups and positions, and such a round counts as incomplete. The test fails before with the state of rank 1 in place of rank 2's.

--- a/src/mustardfront/coordination/rankmaps/_members.py
+++ b/src/mustardfront/coordination/rankmaps/_members.py
@@ -69,15 +69,19 @@
         clients = {
             rank: client_of(rank) for rank in self.addresses if rank not in states
         }
-        found = dict(states) | await _read_all_directly(clients, with_maps=with_maps)
-        return replace(self, direct_clients=clients), found
+        read = await _read_all_directly(clients, with_maps=with_maps)
+        return replace(self, direct_clients=clients), states | self._own_states(read)
 
     async def lock_and_read(
         self, *, with_counts: bool = False, with_maps: bool = False
     ) -> States:
         """Lock all ranks and return the states of those that answer."""
         query = StateQuery(
-            self.holder, lock=True, with_counts=with_counts, with_maps=with_maps
+            self.holder,
+            lock=True,
+            with_counts=with_counts,
+            with_maps=with_maps,
+            group=self.group,
         )
         data = msgspec.to_builtins(query)
         by_agent = {
@@ -94,7 +98,19 @@
             if isinstance(state, Ok):
                 found[rank] = state.value
         found |= await _read_all_directly(self.direct_clients, with_maps=with_maps)
-        return found
+        return self._own_states(found)
+
+    def _own_states(self, states: States) -> States:
+        """Return the states of those that still have the group and rank expected.
+
+        The addresses come from a snapshot that may be old, and a rank of another group
+        may have one of them now.
+        """
+        return {
+            rank: state
+            for rank, state in states.items()
+            if (state.report.seat.group, state.report.seat.rank) == (self.group, rank)
+        }
 
     async def read_own(self) -> MemberState | None:
         """Return the state of the rank beside the coordinator, which calls nobody."""
--- a/src/mustardfront/coordination/rankmaps/_order_handler.py
+++ b/src/mustardfront/coordination/rankmaps/_order_handler.py
@@ -47,7 +47,8 @@
 class StateQuery:
     """A query for a rank's state; ``lock`` also acquires its lock for ``holder``.
 
-    ``unlock`` releases the holder's lock.
+    ``unlock`` releases the holder's lock. A rank of another group than ``group`` does
+    not answer; ``""``, which coordinators of earlier versions send, is any group.
     """
 
     holder: str
@@ -55,6 +56,7 @@
     unlock: bool = False
     with_counts: bool = False
     with_maps: bool = False
+    group: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,7 +150,14 @@
             self._locked_until = self._clock()
         locked = self._acquire_lock(query.holder) if query.lock else False
         with_counts = query.with_counts and locked
-        return await self._read_state(locked, with_counts, query.with_maps)
+        state = await self._read_state(locked, with_counts, query.with_maps)
+        if isinstance(state, Ok) and query.group:
+            group = state.value.report.seat.group
+            if group != query.group:
+                if locked:
+                    self._locked_until = self._clock()
+                return Err(Code.RANK_UNREACHABLE, f"this rank is in group {group}")
+        return state
 
     async def _read_state(
         self, locked: bool, with_counts: bool, with_maps: bool
--- a/tests/test_rankmaps.py
+++ b/tests/test_rankmaps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import msgspec
 import pytest
 import trio
@@ -272,3 +274,21 @@
 
 def test_armed_compares_version_and_step():
     assert ArmedSwitch(1, 2) != ArmedSwitch(1, 3)
+
+
+async def test_state_of_another_rank_at_an_old_address_is_not_used(autojump_clock):
+    """Guards against orders to a rank of another group at a reused address."""
+    agents = FakeAgents(FakeGroup(1))
+    members = agents.members(0, "c1")
+    # Rank 1 has the address at which the coordinator's snapshot lists rank 2.
+    addresses = dict(members.addresses) | {2: members.addresses[1]}
+    moved = replace(members, addresses=addresses)
+    found = await moved.lock_and_read()
+    assert found.keys() == {0, 1, 3}
+    assert not moved.is_complete(found)
+    await moved.unlock()
+    foreign = replace(members, group="another", holder="c2")
+    assert await foreign.lock_and_read() == {}
+    assert [handler.holder for handler in agents.handlers] == [""] * RANKS
+    _, found = await foreign.with_direct_clients({}, lambda rank: agents.clients[rank])
+    assert found == {}
