Renew the watch of tickets when the key-value service goes back

A ticket came into force up to six seconds late after the service had returned from an older copy, at all processes of a place and for each further ticket, as long as the revisions stayed below those of before.

The watch of the head waits at a revision that does not exist yet, and the regular read of the head looked for a higher revision only. Any other revision now renews the watch. The test counts no new watch on the code before.

--- a/bench/_memory_kv.py
+++ b/bench/_memory_kv.py
@@ -40,6 +40,14 @@
         self._events: list[KvEvent] = []
         self._changed = trio.Event()
 
+    def copy(self) -> tuple[dict[str, KvValue], int, list[KvEvent]]:
+        """Return the data, the revision and the history for ``restore``."""
+        return dict(self.data), self.revision, list(self._events)
+
+    def restore(self, copy: tuple[dict[str, KvValue], int, list[KvEvent]]) -> None:
+        """Lose what was written since a copy; its revisions are given out again."""
+        self.data, self.revision, self._events = dict(copy[0]), copy[1], list(copy[2])
+
     def set_down(self, down: bool) -> None:
         """Begin or end an outage; its beginning ends all watches."""
         self.is_down = down
--- a/src/mustardfront/coordination/config/_watch.py
+++ b/src/mustardfront/coordination/config/_watch.py
@@ -186,6 +186,7 @@
             await trio.sleep(REREAD_INTERVAL_S * self._rng.uniform(0.8, 1.0))
             revision = await self.refresh()
             # A change that the watch is about to deliver also counts as missed; this
-            # costs only a new watch.
-            if isinstance(revision, Err) or revision.value > self._watched_revision:
+            # costs only a new watch. A lower revision is that of a restored service,
+            # whose changes the watch does not deliver.
+            if isinstance(revision, Err) or revision.value != self._watched_revision:
                 watch_scope.cancel()
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -13,7 +13,10 @@
 from mustardfront import events
 from mustardfront.coordination.config import submit_ticket
 from mustardfront.coordination.config._push import TicketLog, apply_push
-from mustardfront.coordination.config._watch import WATCHERS_PER_PLACE
+from mustardfront.coordination.config._watch import (
+    REREAD_INTERVAL_S,
+    WATCHERS_PER_PLACE,
+)
 from mustardfront.protocol import ConfigPull
 from mustardfront.results import Err, Ok
 from mustardfront.state import Config, Place, Ticket, apply_ticket, config_to_bytes
@@ -306,3 +309,18 @@
     assert max(figures.in_force_s) <= IN_FORCE_S
     assert figures.watches == WATCHERS_PER_PLACE * len(PLACES)
     assert figures.restarted_ready == figures.restarted
+
+
+async def test_watch_is_renewed_when_the_service_goes_back(autojump_clock):
+    """Guards against a watch that stays at a revision that does not exist yet."""
+    fleet = Fleet(1, all_watch=True)
+    async with fleet.running():
+        await trio.sleep(1)
+        await submit(fleet.kv, 1)
+        copy = fleet.kv.copy()
+        await submit(fleet.kv, 2)
+        await wait_version(fleet, 2)
+        watches = fleet.kv.calls["watch"]
+        fleet.kv.restore(copy)
+        await trio.sleep(2 * REREAD_INTERVAL_S)
+        assert fleet.kv.calls["watch"] > watches
