Write tickets again that the key-value service lost

After the service had returned from an older copy, an operator's new ticket got the number of a lost one and was accepted, and no process put it in force: all of them had a configuration of that number already. A process that started took the older configuration.

Cause: the service's head was compared only to find newer versions. Class: state that goes back with its source. A process that reads an older head than its own version now writes its configuration, the head and the tickets that it has kept over it, on the condition that the head is unchanged, and the administration API refuses tickets until then. What remains: tickets that no running process has kept are not in the list of tickets any more, and an administration process that has just started may accept a ticket before the lost ones are back; that ticket is then undone. The test fails on the code before: the head stays at version 1.

--- a/src/mustardfront/coordination/config/_push.py
+++ b/src/mustardfront/coordination/config/_push.py
@@ -48,6 +48,12 @@
         while len(self._tickets) > LOG_TICKETS_MAX or self._size_bytes > LOG_BYTES_MAX:
             self._size_bytes -= len(self._tickets.popitem(last=False)[1])
 
+    def tickets_after(self, version: int) -> dict[int, bytes]:
+        """Return the encoded tickets with higher numbers, as far as they are kept."""
+        return {
+            number: data for number, data in self._tickets.items() if number > version
+        }
+
     def encode_push(self, cfg: Config, version: int) -> bytes:
         """Return the data of a push that updates a peer from ``version`` to ``cfg``.
 
--- a/src/mustardfront/coordination/config/_submit.py
+++ b/src/mustardfront/coordination/config/_submit.py
@@ -51,15 +51,18 @@
 
 
 async def submit_ticket(
-    kv: Kv, ticket: Ticket, rng: random.Random | None = None
+    kv: Kv, ticket: Ticket, rng: random.Random | None = None, *, in_force: int = 0
 ) -> Result[Accepted]:
     """Submit ``ticket`` and return whether it was accepted.
 
+    ``in_force`` is the version that this process has in force. A service with an older
+    one has lost tickets, and gets no new ones before these are written again.
+
     Ok: the service confirmed that it is accepted. Err(TICKET_*) and
     Err(STORE_UNAVAILABLE): it is not accepted. Err(WRITE_UNKNOWN): it may be accepted;
     submitting the same ticket again resolves this.
     """
-    result = await _submit(kv, ticket, rng or random.Random())
+    result = await _submit(kv, ticket, rng or random.Random(), in_force)
     if isinstance(result, Ok):
         accepted = result.value
         events.log(
@@ -81,8 +84,10 @@
     return result
 
 
-async def _submit(kv: Kv, ticket: Ticket, rng: random.Random) -> Result[Accepted]:
-    prepared = await _prepare(kv, ticket)
+async def _submit(
+    kv: Kv, ticket: Ticket, rng: random.Random, in_force: int
+) -> Result[Accepted]:
+    prepared = await _prepare(kv, ticket, in_force)
     if isinstance(prepared, Err):
         if prepared.code is Code.TICKET_OUT_OF_ORDER:
             return await _recognise_resubmission(kv, ticket, prepared)
@@ -180,7 +185,9 @@
     return Ok(Accepted(ticket.number, records.ticket_digest(data), repeated=True))
 
 
-async def _prepare(kv: Kv, ticket: Ticket) -> Result[tuple[_Transaction, Config]]:
+async def _prepare(
+    kv: Kv, ticket: Ticket, in_force: int = 0
+) -> Result[tuple[_Transaction, Config]]:
     data = records.encode_ticket(ticket)
     if len(data) > records.TICKET_MAX_BYTES:
         text = f"the ticket has {len(data)} bytes; {records.TICKET_MAX_BYTES}"
@@ -190,6 +197,12 @@
         if isinstance(head, Err):
             return head
         (last, revision) = head.value
+        if last.version < in_force:
+            text = f"the key-value service lost tickets after {last.version};"
+            return Err(
+                Code.STORE_UNAVAILABLE,
+                f"{text} version {in_force} is in force and is written again",
+            )
         if ticket.number != last.version + 1:
             text = f"ticket {ticket.number} does not follow version {last.version};"
             return Err(
--- a/src/mustardfront/coordination/config/_watch.py
+++ b/src/mustardfront/coordination/config/_watch.py
@@ -12,6 +12,7 @@
 from mustardfront.codes import Code
 from mustardfront.coordination.config import _records as records
 from mustardfront.coordination.config._kv import Kv
+from mustardfront.coordination.config._lost import write_lost_tickets
 from mustardfront.coordination.config._push import TicketLog
 from mustardfront.coordination.config._store import ConfigStore
 from mustardfront.coordination.hosts import HostList
@@ -124,11 +125,16 @@
         return result
 
     async def _refresh(self) -> Result[int]:
-        head = await records.read_head(self._kv)
-        if isinstance(head, Err):
-            return head
-        applied = await self._apply_version(head.value[0].version)
-        return applied if isinstance(applied, Err) else Ok(head.value[1])
+        read = await records.read_head(self._kv)
+        if isinstance(read, Err):
+            return read
+        head, revision = read.value
+        cfg = self._store.current
+        if head.version < cfg.version:
+            done = await write_lost_tickets(self._kv, cfg, self._log, head, revision)
+        else:
+            done = await self._apply_version(head.version)
+        return done if isinstance(done, Err) else Ok(revision)
 
     async def _apply_version(self, version: int) -> Result[None]:
         """Put ``version`` in force, using its ticket or else the snapshot."""
@@ -177,6 +183,9 @@
                         text=head.text,
                     )
                     return
+                if head.value.version < self._store.current.version:
+                    # The service was restored; the next refresh writes the rest again.
+                    return
                 if isinstance(await self._apply_version(head.value.version), Err):
                     return
 
--- a/src/mustardfront/programs/admin/_app.py
+++ b/src/mustardfront/programs/admin/_app.py
@@ -167,7 +167,8 @@
     ticket = _parse_operator_ticket(operator, body)
     if isinstance(ticket, Err):
         return ticket
-    result = await submit_ticket(process.kv, ticket.value)
+    in_force = process.store.current.version
+    result = await submit_ticket(process.kv, ticket.value, in_force=in_force)
     code = Code.ANSWERED if isinstance(result, Ok) else result.code
     process.metrics.count("mustardfront_tickets", result=code.name)
     return result
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -11,7 +11,8 @@
 from hypothesis import strategies as st
 
 from mustardfront import events
-from mustardfront.coordination.config import submit_ticket
+from mustardfront.codes import Code
+from mustardfront.coordination.config import list_tickets, submit_ticket
 from mustardfront.coordination.config._push import TicketLog, apply_push
 from mustardfront.coordination.config._watch import (
     REREAD_INTERVAL_S,
@@ -311,6 +312,31 @@
     assert figures.restarted_ready == figures.restarted
 
 
+async def test_tickets_that_the_service_lost_are_written_again(autojump_clock):
+    """Guards against an accepted ticket that is undone, or shares its number."""
+    fleet = Fleet(20)
+    async with fleet.running():
+        await trio.sleep(1)
+        await submit(fleet.kv, 1)
+        copy = fleet.kv.copy()
+        for number in (2, 3):
+            await submit(fleet.kv, number)
+            await wait_version(fleet, number)
+        fleet.kv.restore(copy)
+        other = Ticket(2, "b", "r", {"places": {"other": Place("region")}})
+        refused = await submit_ticket(fleet.kv, other, in_force=3)
+        assert isinstance(refused, Err) and refused.code is Code.STORE_UNAVAILABLE
+        await trio.sleep(IN_FORCE_S)
+        late = await submit_ticket(fleet.kv, other, in_force=3)
+        assert isinstance(late, Err) and late.code is Code.TICKET_OUT_OF_ORDER
+        kept = await list_tickets(fleet.kv, 3)
+        assert isinstance(kept, Ok)
+        assert [ticket.number for ticket in kept.value] == [3, 2, 1]
+        await submit(fleet.kv, 4)
+        await wait_version(fleet, 4)
+        assert all("p3" in m.store.current.places for m in fleet.members.values())
+
+
 async def test_watch_is_renewed_when_the_service_goes_back(autojump_clock):
     """Guards against a watch that stays at a revision that does not exist yet."""
     fleet = Fleet(1, all_watch=True)
@@ -324,3 +350,6 @@
         fleet.kv.restore(copy)
         await trio.sleep(2 * REREAD_INTERVAL_S)
         assert fleet.kv.calls["watch"] > watches
+        await submit(fleet.kv, 3)
+        await trio.sleep(0.1)
+        assert fleet.members[0].store.current.version == 3
