Keep claims that the key-value service lost

A caller that sent a non-idempotent request again could have it run twice, when the service had returned from an older copy between both: the owner's next write failed on the changed record, it read the older record, and the claim was gone.

Cause: the service's record was taken as complete. Class: state that goes back with its source. The key-value client now counts returns to a lower revision; the partition owner then gives up its partitions and acquires them again, and an owner that acquires a partition that it had before adds the claims and answers that it knows and the record lacks. The partition serves requests only once they are written. What remains: claims of a process that has ended since are lost, and so is a return that no call of this process sees, since later writes already took the revisions that were lost. The test runs the request twice on the code before, once by a new process.

--- a/src/mustardfront/coordination/idempotency/_owner.py
+++ b/src/mustardfront/coordination/idempotency/_owner.py
@@ -97,6 +97,7 @@
         self._committed_at = float("-inf")
         self._oldest_result_at = float("inf")
         self._handover_since: dict[int, float] = {}
+        self._restores = 0
 
     @property
     def owned(self) -> frozenset[int]:
@@ -323,6 +324,9 @@
         result = await self._members.refresh()
         if isinstance(result, Err):
             return result
+        if self._restores != self._kv.restores:
+            self._restores = self._kv.restores
+            self._writer.drop_all()
         if self._upstream not in self._members.view:
             self._next_reconcile_at = (
                 self._last_reconcile_at + OWNER_CHECK_MIN_INTERVAL_S
@@ -359,7 +363,7 @@
             events.log(events.Event.TASK_FAILED, task="take", text=loaded.text)
             return Ok(None)
         if not self._awaits_handover(number, loaded.value.head.owner):
-            self._writer.owned[number] = loaded.value
+            self._writer.add(loaded.value)
         return Ok(None)
 
     def _awaits_handover(self, number: int, instance: str) -> bool:
--- a/src/mustardfront/coordination/idempotency/_record.py
+++ b/src/mustardfront/coordination/idempotency/_record.py
@@ -161,6 +161,22 @@
         """Remove the oldest segment, which was deleted."""
         self.size -= self.segments.popleft().size
 
+    def add_known(self, known: Mapping[bytes, RecordedKey]) -> None:
+        """Queue what an earlier owner in this process knew and the record lacks.
+
+        A record loses entries when the key-value service goes back to an older copy of
+        its data. Keys that have expired meanwhile are left out.
+        """
+        for key, recorded in known.items():
+            if recorded.claim.time_ms <= self.head.floor_ms:
+                continue
+            stored = self.index.get(key)
+            if stored is None:
+                self.pending.append(QueuedEntry(recorded.claim))
+                apply_entry(self.index, recorded.claim)
+            if recorded.done is not None and (stored is None or stored.done is None):
+                self.append(recorded.done)
+
     def append(self, entry: Done | Void) -> None:
         """Queue an entry for the next write, and apply it to the index at once."""
         self.pending.append(QueuedEntry(entry))
--- a/src/mustardfront/coordination/idempotency/_writer.py
+++ b/src/mustardfront/coordination/idempotency/_writer.py
@@ -24,6 +24,7 @@
     Ownership,
     Partition,
     QueuedEntry,
+    RecordedKey,
     Void,
     apply_entry,
     decode_head,
@@ -76,6 +77,8 @@
         is called with a lost partition and the instance of its new owner.
         """
         self.owned: dict[int, Partition] = {}
+        # The keys of the partitions that were owned before.
+        self._known: dict[int, dict[bytes, RecordedKey]] = {}
         self._kv = kv
         self._service = service
         self._owner = owner
@@ -88,6 +91,20 @@
         """Return whether the outcome of the last write is unknown."""
         return self._unresolved is not None
 
+    def add(self, partition: Partition) -> None:
+        """Own a loaded partition, whose acquisition the next write records."""
+        partition.add_known(self._known.pop(partition.number, {}))
+        self.owned[partition.number] = partition
+
+    def drop_all(self) -> None:
+        """Give up all partitions; their records may not be those that were written."""
+        for partition in tuple(self.owned.values()):
+            self._drop_partition(partition, "")
+
+    def _remove(self, partition: Partition) -> None:
+        del self.owned[partition.number]
+        self._known[partition.number] = partition.index
+
     async def commit(self) -> Result[None]:
         """Write the dirty partitions, or finish the write with an unknown outcome.
 
@@ -214,7 +231,7 @@
                 partition.state = Ownership.OWNED
                 self._log_partition(events.Event.PARTITION_OWNED, partition)
             if not partition.head.owner:
-                del self.owned[partition.number]
+                self._remove(partition)
                 self._log_partition(events.Event.PARTITION_RELEASED, partition)
 
     def _discard(self, write: _Write) -> None:
@@ -228,7 +245,7 @@
 
     def _drop_partition(self, partition: Partition, owner: str) -> None:
         if self.owned.get(partition.number) is partition:
-            del self.owned[partition.number]
+            self._remove(partition)
         self._log_partition(events.Event.PARTITION_RELEASED, partition, fenced_by=owner)
         self._on_lost(partition, owner)
 
@@ -280,7 +297,8 @@
         return False
     if item.claim_refused:
         return True
-    apply_entry(partition.index, item.entry)
+    if item.entry.key not in partition.index:
+        apply_entry(partition.index, item.entry)
     _report_outcome(item, None)
     return False
 
--- a/src/mustardfront/coordination/kv/_client.py
+++ b/src/mustardfront/coordination/kv/_client.py
@@ -14,6 +14,7 @@
 import msgspec
 import trio
 
+from mustardfront import events
 from mustardfront.codes import Code
 from mustardfront.constants import (
     CONNECT_TIMEOUT_S,
@@ -72,12 +73,17 @@
     """Key-value client; ``calls`` counts the calls by kind.
 
     A failed call returns ``Err(STORE_UNAVAILABLE)`` if it certainly wrote nothing and
-    ``Err(WRITE_UNKNOWN)`` if a write may have taken effect.
+    ``Err(WRITE_UNKNOWN)`` if a write may have taken effect. ``restores`` counts how
+    often the service was found to be back from an older copy of its data, in which
+    revisions are given out again.
     """
 
     def __init__(self, url: str) -> None:
         self._url = url.rstrip("/")
         self.calls: Counter[str] = Counter()
+        self.restores = 0
+        # The highest revision that a response had since the last restore.
+        self._revision = 0
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=KV_CONNECTIONS, max_keepalive_connections=KV_CONNECTIONS
         )
@@ -226,6 +232,7 @@
         )
         timeout = dict.fromkeys(("read", "write", "pool"), KV_CALL_TIMEOUT_S)
         timeout["connect"] = CONNECT_TIMEOUT_S
+        before = (self.restores, self._revision)
         try:
             response = await self._pool.request(
                 "POST",
@@ -245,9 +252,33 @@
         if response.status >= 400:
             return _error_from_response(kind, response, ambiguous_code)
         try:
-            return Ok(msgspec.json.decode(response.content, type=dict[str, Any]))
+            body = msgspec.json.decode(response.content, type=dict[str, Any])
         except msgspec.DecodeError as exc:
             return Err(ambiguous_code, f"{kind}: malformed response: {exc}")
+        self._note_revision(body, *before)
+        return Ok(body)
+
+    def _note_revision(
+        self, body: dict[str, Any], restores: int, revision_before: int
+    ) -> None:
+        """Compare a response's revision with that before its call.
+
+        Responses are linearizable, so only a restore makes it lower.
+        """
+        header = body.get("header") or body.get("result", {}).get("header", {})
+        revision = int(header.get("revision", 0))
+        if restores != self.restores or not revision:
+            return
+        if revision >= revision_before:
+            self._revision = max(self._revision, revision)
+            return
+        self.restores += 1
+        self._revision = revision
+        events.log(
+            events.Event.STORE_RESTORED,
+            revision=revision,
+            previous_revision=revision_before,
+        )
 
 
 def _error_from_response(
--- a/src/mustardfront_standins/kv/_store.py
+++ b/src/mustardfront_standins/kv/_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import itertools
 from collections import deque
 from collections.abc import Callable
@@ -54,6 +55,17 @@
         self._lease_ids = itertools.count(7_587_000_001)
         self._changed = trio.Event()
 
+    def copy(self) -> Store:
+        """Return a copy of the data for ``restore``."""
+        return copy.deepcopy(self)
+
+    def restore(self, data: Store) -> None:
+        """Go back to a copy; its revisions are given out again, lease IDs are not."""
+        self.revision = data.revision
+        self.leases = copy.deepcopy(data.leases)
+        self._entries = dict(data._entries)
+        self._history = copy.copy(data._history)
+
     def get(self, key: bytes) -> Entry | None:
         """Return the entry of a key, or None."""
         return self._entries.get(key)
--- a/tests/fake_kv.py
+++ b/tests/fake_kv.py
@@ -31,6 +31,8 @@
         self.down_after_late = False
         self.delayed_writes: list[Callable[[], Any]] = []
         self.calls: dict[str, int] = {}
+        self.restores = 0
+        self._revision = 0
         self._resume_event: trio.Event | None = None
 
     def hold(self) -> None:
@@ -95,6 +97,9 @@
             self.down = self.down or self.down_after_late
             return Err(Code.WRITE_UNKNOWN, "late")
         result = execute()
+        if self.store.revision < self._revision:
+            self.restores += 1
+        self._revision = self.store.revision
         await trio.sleep(LATENCY_S)
         await self._wait_while_held()
         if kind == "txn" and self.lose:
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -334,3 +334,27 @@
         owner, _, _ = await fleet.start("a")
         assert await fleet.run(owner, make_key(1), result) == result
         assert (await fleet.run(owner, make_key(1))).code is again
+
+
+async def test_request_runs_once_when_the_service_lost_its_claim(autojump_clock):
+    """Guards against a second run after a return from an older copy of the data."""
+    async with open_fleet() as fleet:
+        owner, _, _ = await fleet.start("a")
+        await fleet.run(owner, make_key(1))
+        older = fleet.store.copy()
+        await fleet.run(owner, make_key(2))
+        await trio.sleep(2)
+        fleet.store.restore(older)
+        # The owner finds by its next write that its record has changed.
+        await fleet.run(owner, make_key(3))
+        again = await fleet.run(owner, make_key(2))
+        while again.outcome is Outcome.NOT_RUN:
+            await trio.sleep(0.5)
+            again = await fleet.run(owner, make_key(2))
+        assert (again.code, again.status) == (Code.ANSWERED_FROM_RECORD, 201)
+        assert fleet.runs.count(make_key(2)) == 1
+        # The record itself has the claim and the answer again.
+        await trio.sleep(2)
+        other, _, _ = await fleet.start("a", "a-2")
+        again = await fleet.run(other, make_key(2))
+        assert (again.code, again.status) == (Code.ANSWERED_FROM_RECORD, 201)
