Give a term a fence above those that the service lost

After the key-value service had returned from an older copy, ranks refused the orders of each new coordinator, whose fence was lower than the newest that they had seen: expert maps stood still, and a group that had to be formed anew stayed down, until the revisions had caught up. A fence could also be given to two coordinators, one of them paused.

Cause: a fence was the revision of a write, and revisions are given out again. Class: a position in a log that was replaced. A new term now asks its own rank for the newest fence that it has seen. If the revision is not above it, the term takes the next one, and keeps it under a key of the group by compare-and-swap, which later terms read; so no two terms get the same. Without the raise, the fences of the test are below the one that was seen.

--- a/src/mustardfront/coordination/expertmap/_lease.py
+++ b/src/mustardfront/coordination/expertmap/_lease.py
@@ -25,6 +25,7 @@
 # the key-value service one read per campaign interval.
 CANDIDATES_MAX: Final = 3
 KEY_PREFIX: Final = "/mustardfront/coordinator/"
+FENCE_PREFIX: Final = "/mustardfront/fence/"
 
 
 class LeaseStore(Protocol):
@@ -56,6 +57,7 @@
 class Term:
     """A coordinator's lease and its fence: the revision of the write of its key.
 
+    ``raise_fence`` gives it a higher one if ranks know that revision from before.
     ``renewed_at`` is trio's time just before the last call that is known to have
     granted or renewed the lease.
     """
@@ -83,9 +85,9 @@
 
     ``on_outage`` runs after each try on which the service did not return the key.
 
-    The fence is the revision of the write that created the key, so a later term
-    always has a higher one. After a write whose answer was lost, the key is read to
-    see whether the write took effect.
+    The fence is the revision of the write that created the key, so a later term has
+    a higher one, unless the service lost its last writes. After a write whose answer
+    was lost, the key is read to see whether the write took effect.
     """
     key = KEY_PREFIX + group
     while True:
@@ -117,6 +119,34 @@
     return None
 
 
+async def raise_fence(
+    kv: LeaseStore, group: str, term: Term, newest: int
+) -> Result[None]:
+    """Give a term a fence above ``newest``, the newest one that a rank has seen.
+
+    A service that comes back from an older copy of its data gives revisions out again
+    that were fences before. Fences above the revision are kept under a key, so that no
+    two terms get the same.
+    """
+    key = FENCE_PREFIX + group
+    found = await kv.get(key)
+    if isinstance(found, Err):
+        return found
+    kept = found.value
+    newest = max(newest, int(kept.value) if kept else 0)
+    if term.fence > newest:
+        return Ok(None)
+    fence = newest + 1
+    revision = kept.mod_revision if kept else 0
+    written = await kv.txn({key: revision}, {key: str(fence).encode()})
+    if isinstance(written, Err):
+        return written
+    if not written.value.succeeded:
+        return Err(Code.STORE_CONFLICT, f"another term of {group} took a fence")
+    term.fence = fence
+    return Ok(None)
+
+
 async def run_term(
     kv: LeaseStore, term: Term, lead: Callable[[], Awaitable[None]]
 ) -> None:
--- a/src/mustardfront/coordination/expertmap/_task.py
+++ b/src/mustardfront/coordination/expertmap/_task.py
@@ -27,6 +27,7 @@
     LeaseStore,
     Term,
     campaign,
+    raise_fence,
     run_term,
 )
 from mustardfront.coordination.expertmap._links import (
@@ -35,7 +36,7 @@
     OrderExecutor,
 )
 from mustardfront.coordination.expertmap._rank import RankCall
-from mustardfront.coordination.expertmap._types import parse_state
+from mustardfront.coordination.expertmap._types import RankState, parse_state
 from mustardfront.protocol import Identity, connect_peer
 from mustardfront.results import Err, Ok, Result
 from mustardfront.state import Config, Group, first_map
@@ -115,10 +116,15 @@
         resolver = _OutageResolver(upstream, config, executor, identity, key, connect)
         on_outage = partial(resolver.resolve_if_stalled, name, group)
         term = await campaign(kv, name, identity.instance, on_outage)
+        connections = GroupConnections(name, upstream, executor, identity, key)
+        local = await _read_local_state(connections, upstream)
+        newest = local.value.fence if isinstance(local, Ok) else 0
+        if isinstance(await raise_fence(kv, name, term, newest), Err):
+            await kv.lease_revoke(term.lease)
+            continue
         events.log(
             events.Event.COORDINATOR_CHANGED, group=name, held=True, fence=term.fence
         )
-        connections = GroupConnections(name, upstream, executor, identity, key)
         lead = partial(_lead_group, upstream, config, connections, term, connect)
         await run_term(kv, term, lead)
 
@@ -155,14 +161,13 @@
         connections = GroupConnections(
             name, self._upstream, self._executor, self._identity, self._key
         )
-        send_orders = partial(connections.send_orders, 0)
-        answer = (await send_orders({self._upstream: ("state", {})}))[self._upstream]
-        local = answer if isinstance(answer, Err) else parse_state(answer.value)
+        local = await _read_local_state(connections, self._upstream)
         if isinstance(local, Err):
             return
         last_step, self._last_step = self._last_step, local.value.step
         if last_step != self._last_step:
             return
+        send_orders = partial(connections.send_orders, 0)
         co = Coordinator(
             name, group.ranks, 0, send_orders, trio.sleep, _refuse_first_map
         )
@@ -178,6 +183,14 @@
                     return
 
 
+async def _read_local_state(
+    connections: GroupConnections, upstream: str
+) -> Result[RankState]:
+    answers = await connections.send_orders(0, {upstream: ("state", {})})
+    answer = answers[upstream]
+    return answer if isinstance(answer, Err) else parse_state(answer.value)
+
+
 def _refuse_first_map() -> Err:
     return Err(Code.MAP_INVALID, "only a coordinator with a lease may form a group")
 
--- a/tests/test_expertmap.py
+++ b/tests/test_expertmap.py
@@ -16,6 +16,7 @@
 )
 from mustardfront.coordination.expertmap._balancer import GroupBalancer
 from mustardfront.coordination.expertmap._coordinator import refresh_quiet_states
+from mustardfront.coordination.expertmap._lease import raise_fence
 from mustardfront.coordination.expertmap._task import run_round
 from mustardfront.protocol import Order
 from mustardfront.results import Err, Ok
@@ -164,6 +165,24 @@
     assert fences[0] < fences[1]
 
 
+async def test_fence_is_above_those_that_the_service_lost(autojump_clock):
+    """Guards against a group without a coordinator, or with two of one fence."""
+    store = Store()
+    kv = FakeKv(store)
+    older = store.copy()
+    for _ in range(9):
+        await kv.txn({}, {"other": b""})
+    seen = (await campaign(kv, "g", "me")).fence
+    store.restore(older)
+    fences = []
+    for newest in (seen, seen, 0):
+        term = await campaign(kv, "g", "me")
+        assert isinstance(await raise_fence(kv, "g", term, newest), Ok)
+        fences.append(term.fence)
+        await kv.lease_revoke(term.lease)
+    assert seen < fences[0] < fences[1] < fences[2]
+
+
 async def test_a_term_survives_an_outage_but_ends_with_its_lease(autojump_clock):
     # Guards against ending a term when the key-value service is down: ranks with an
     # open vote would wait until it is back.
