Log the time in which an upstream wants no requests

A refusal with Retry-After looked like any other in the log. Event 319 gives the upstream and the time that it names; together with the choices of upstreams (event 300) it shows whether requests go there in that time. No decision changes.

--- a/src/mustardfront/coordination/traffic/__init__.py
+++ b/src/mustardfront/coordination/traffic/__init__.py
@@ -1,5 +1,6 @@
 """Configuration, upstream state and selection for entries with direct upstreams."""
 
+from mustardfront.coordination.traffic._backoff import parse_retry_after
 from mustardfront.coordination.traffic._feed import (
     Change,
     Changes,
@@ -51,6 +52,7 @@
     "follow",
     "keep_announced",
     "parse_rate_limit",
+    "parse_retry_after",
     "pick_service",
     "selectable_upstreams",
     "silence_timeout_s",
--- a/src/mustardfront/programs/gateway/_forward.py
+++ b/src/mustardfront/programs/gateway/_forward.py
@@ -15,6 +15,7 @@
     RateLimitNotice,
     Upstream,
     parse_rate_limit,
+    parse_retry_after,
     selectable_upstreams,
     silence_timeout_s,
 )
@@ -49,6 +50,8 @@
 _DEADLINE_MARGIN_S: Final = 0.02
 
 
+# Statuses with which an upstream turns a request away for the moment.
+_RETRY_LATER_STATUSES: Final = frozenset({429, 503})
 _RESTART_CODES: Final = frozenset(
     {Code.NOT_READY, Code.NO_CAPABLE_UPSTREAM, Code.UPSTREAM_REPLACED}
 )
@@ -139,6 +142,7 @@
 
     def on_head(status: int, headers: Mapping[bytes, bytes]) -> None:
         _record_rate_limit(fwd, upstream, status, headers)
+        _record_retry_after(req, upstream, status, headers)
 
     progress.begin_attempt(on_first_event)
     started_at, events_before = trio.current_time(), progress.event_count
@@ -191,6 +195,24 @@
         fwd.rate_limit_notices.put(upstream.incarnation, notice)
 
 
+def _record_retry_after(
+    req: GatewayRequest,
+    upstream: Upstream,
+    status: int,
+    headers: Mapping[bytes, bytes],
+) -> None:
+    delay_s = parse_retry_after(headers.get(b"retry-after", b""))
+    if status not in _RETRY_LATER_STATUSES or delay_s is None:
+        return
+    events.log(
+        events.Event.RETRY_AFTER_RECEIVED,
+        request_id=req.request_id,
+        upstream=upstream.instance,
+        status=status,
+        retry_after_ms=round(delay_s * 1000),
+    )
+
+
 async def _record_closed_attempt(
     fwd: Forwarder,
     req: GatewayRequest,
