Leave upstreams alone for the time of their Retry-After

Callers' requests were late or refused while three quarters of the upstreams had room: entries sent a quarter of them to upstreams that had just turned others away, and spent the attempts and the retry budget there. Upstreams in need got up to twelve requests from one entry in the three seconds for which they had asked to be left alone.

Cause: an entry paused an upstream for 0.15 s after any refusal and read no Retry-After.

An entry now keeps the time by the upstream's process, so that it outlasts a lapsed announcement, and selects the upstream only after it. A request that finds all upstreams in such a time longer than it may wait is refused at once, with the time until the first of them takes requests as Retry-After.

--- a/src/mustardfront/coordination/traffic/__init__.py
+++ b/src/mustardfront/coordination/traffic/__init__.py
@@ -1,6 +1,6 @@
 """Configuration, upstream state and selection for entries with direct upstreams."""
 
-from mustardfront.coordination.traffic._backoff import parse_retry_after
+from mustardfront.coordination.traffic._backoff import Backoffs, parse_retry_after
 from mustardfront.coordination.traffic._feed import (
     Change,
     Changes,
@@ -32,6 +32,7 @@
 from mustardfront.coordination.traffic._upstreams import TrafficState, Upstream
 
 __all__ = [
+    "Backoffs",
     "Change",
     "Changes",
     "EntryChange",
--- a/src/mustardfront/coordination/traffic/_placing.py
+++ b/src/mustardfront/coordination/traffic/_placing.py
@@ -47,14 +47,15 @@
     """Return the candidates that are not in ``excluded``, healthy ones if any.
 
     Blocked upstreams are returned only when no other is left. Upstreams paused after
-    a refusal are never returned, nor those whose limit leaves this entry no request.
+    a refusal are never returned, nor those that want no requests for now, nor those
+    whose limit leaves this entry none.
     """
     left = [
         one
         for one in upstreams
         if one.instance not in excluded
         and not state.is_refusing(one)
-        and not state.rate_limits.wait_s(one.incarnation)
+        and not state.wait_s(one)
     ]
     sound = [one for one in left if not state.is_blocked(one)]
     return sound or left
--- a/src/mustardfront/coordination/traffic/_upstreams.py
+++ b/src/mustardfront/coordination/traffic/_upstreams.py
@@ -10,6 +10,7 @@
 
 from mustardfront import events
 from mustardfront.coordination.quarantine import CrashEvidence, CrashReport
+from mustardfront.coordination.traffic._backoff import Backoffs
 from mustardfront.coordination.traffic._feed import (
     Change,
     EntryChange,
@@ -107,6 +108,7 @@
         self._era: int | None = None
         self.crash_evidence = CrashEvidence(clock)
         self.rate_limits = RateLimits(clock, entry)
+        self.backoffs = Backoffs(clock)
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after each change of the configuration or upstreams."""
@@ -277,6 +279,13 @@
                 pause_ms=round(GROUP_PAUSE_S * 1000),
             )
 
+    def wait_s(self, upstream: Upstream) -> float:
+        """Return after how many seconds an upstream may get a request; 0 if now."""
+        return max(
+            self.backoffs.left_s(upstream.incarnation),
+            self.rate_limits.wait_s(upstream.incarnation),
+        )
+
     def is_refusing(self, upstream: Upstream) -> bool:
         """Return whether an upstream is paused after a refusal."""
         return self._clock() < upstream.refused_until
--- a/src/mustardfront/programs/gateway/_choice.py
+++ b/src/mustardfront/programs/gateway/_choice.py
@@ -95,28 +95,25 @@
         now_s = trio.current_time()
         if chosen is not None or now_s >= wait_ends_at:
             return chosen
-        limit_wait_s = _limit_wait_s(fwd, req, retry)
-        if now_s + limit_wait_s > wait_ends_at:
+        upstream_wait_s = _upstream_wait_s(fwd, req, retry)
+        if now_s + upstream_wait_s > wait_ends_at:
             retry.code = Code.UPSTREAM_LIMIT
-            retry.text = "the upstreams' rate limits leave no request to this entry"
+            retry.text = "all upstreams want no requests from this entry for now"
             # Another entry may have a share of the limits.
-            retry.retry_after_s = limit_wait_s if isfinite(limit_wait_s) else None
+            retry.retry_after_s = upstream_wait_s if isfinite(upstream_wait_s) else None
             return None
         await trio.sleep(UPSTREAM_POLL_S)
 
 
-def _limit_wait_s(fwd: Forwarder, req: GatewayRequest, retry: RetryState) -> float:
-    """Return how long the limits of all upstreams not tried yet last; 0 if one is free.
+def _upstream_wait_s(fwd: Forwarder, req: GatewayRequest, retry: RetryState) -> float:
+    """Return after how long an upstream wants a request; 0 if one wants it now.
 
-    Infinite if this entry has no share of any limit.
+    Upstreams that were tried count only if there are no others. Infinite if this entry
+    has no share of any upstream's limit.
     """
     known = fwd.state.upstreams_of(req.service)
-    waits = [
-        fwd.state.rate_limits.wait_s(one.incarnation)
-        for one in known
-        if one.instance not in retry.excluded
-    ]
-    return min(waits, default=0.0)
+    untried = [one for one in known if one.instance not in retry.excluded]
+    return min(map(fwd.state.wait_s, untried or known), default=0.0)
 
 
 def _refuse_held(
--- a/src/mustardfront/programs/gateway/_forward.py
+++ b/src/mustardfront/programs/gateway/_forward.py
@@ -142,7 +142,7 @@
 
     def on_head(status: int, headers: Mapping[bytes, bytes]) -> None:
         _record_rate_limit(fwd, upstream, status, headers)
-        _record_retry_after(req, upstream, status, headers)
+        _record_retry_after(fwd, req, upstream, status, headers)
 
     progress.begin_attempt(on_first_event)
     started_at, events_before = trio.current_time(), progress.event_count
@@ -196,6 +196,7 @@
 
 
 def _record_retry_after(
+    fwd: Forwarder,
     req: GatewayRequest,
     upstream: Upstream,
     status: int,
@@ -204,6 +205,7 @@
     delay_s = parse_retry_after(headers.get(b"retry-after", b""))
     if status not in _RETRY_LATER_STATUSES or delay_s is None:
         return
+    fwd.state.backoffs.record(upstream.incarnation, delay_s)
     events.log(
         events.Event.RETRY_AFTER_RECEIVED,
         request_id=req.request_id,
