Keep to the Retry-After of a sidecar's upstream

A sidecar now takes the time over from 429 and 503, refuses requests as not run meanwhile, and names what is left of the time; an entry chooses that upstream again only then. In the test the upstream got 28 requests in 2.8 s before, one now.

--- a/src/mustardfront/coordination/routing/_table.py
+++ b/src/mustardfront/coordination/routing/_table.py
@@ -174,6 +174,13 @@
         state.report_at = NEVER
         state.update_availability()
 
+    def pause(self, upstream: str, delay_s: float) -> None:
+        """Choose an upstream no sooner than ``delay_s`` from now."""
+        state = self._states.get(upstream)
+        if state is not None:
+            state.down_until = max(state.down_until, self.clock() + delay_s)
+            state.update_availability()
+
     def record_start(self, upstream: str) -> None:
         """Count a request as in flight at the upstream."""
         state = self._states.get(upstream)
--- a/src/mustardfront/programs/entry/_attempt.py
+++ b/src/mustardfront/programs/entry/_attempt.py
@@ -131,6 +131,8 @@
         if isinstance(reply, Err):
             return Failed(reply.code, Outcome.UNKNOWN, reply.text)
         if isinstance(reply, Refused):
+            if reply.code == Code.UPSTREAM_LIMIT:
+                table.pause(upstream, reply.retry_after_ms / 1_000)
             return _failure_of_refusal(reply)
         if isinstance(reply, Cancelled):
             outcome = Outcome.UNKNOWN if reply.started else Outcome.NOT_RUN
--- a/src/mustardfront/programs/sidecar/_admission.py
+++ b/src/mustardfront/programs/sidecar/_admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any, Final
 
 import msgspec
@@ -13,10 +14,16 @@
 from mustardfront.protocol import Request
 from mustardfront.results import Err, Ok, Result
 
-# Retry delay given with a refusal: about one round of load reports.
+# Shortest retry delay given with a refusal: about one round of load reports.
 RETRY_AFTER_MS: Final = 200
 
 
+def retry_after_ms(sidecar: Sidecar) -> int:
+    """Return the retry delay for a refusal."""
+    left_s = sidecar.backoffs.left_s(sidecar.instance)
+    return max(RETRY_AFTER_MS, math.ceil(left_s * 1_000))
+
+
 def admission_error(sidecar: Sidecar, req: Request) -> Err | None:
     """Return the reason to refuse a new request, or None.
 
@@ -48,6 +55,9 @@
         )
     if sidecar.crash_evidence.held_content(part_content(req.part)) is not None:
         return Err(Code.REQUEST_HELD, "the start of this prompt crashed upstreams")
+    if sidecar.backoffs.left_s(sidecar.instance):
+        text = f"upstream {sidecar.upstream} asked for a time without requests"
+        return Err(Code.UPSTREAM_LIMIT, text)
     if sidecar.rate_limits.wait_s(sidecar.instance):
         text = f"upstream {sidecar.upstream} names a rate that allows no request now"
         return Err(Code.UPSTREAM_LIMIT, text)
--- a/src/mustardfront/programs/sidecar/_relay.py
+++ b/src/mustardfront/programs/sidecar/_relay.py
@@ -11,12 +11,17 @@
 
 from mustardfront import events
 from mustardfront.codes import Code
-from mustardfront.coordination.traffic import RateLimitNotice, parse_rate_limit
+from mustardfront.coordination.traffic import (
+    RateLimitNotice,
+    parse_rate_limit,
+    parse_retry_after,
+)
 from mustardfront.programs._crash_reports import part_content
 from mustardfront.programs.sidecar._admission import (
     RETRY_AFTER_MS,
     admission_error,
     build_upstream_call,
+    retry_after_ms,
     start_error,
 )
 from mustardfront.programs.sidecar._attempt import Attempt
@@ -99,7 +104,7 @@
         return await run_with_claim(sidecar, attempt, run_attempt)
     err = start_error(sidecar, req)
     if err is not None:
-        return attempt.refused_reply(err, RETRY_AFTER_MS)
+        return attempt.refused_reply(err, retry_after_ms(sidecar))
     while True:
         suspect = _is_suspect(sidecar, attempt)
         async with _exclusive_if_suspect(sidecar, suspect):
@@ -110,7 +115,7 @@
                 sidecar.notify_load_changed()
                 err = start_error(sidecar, req)
                 if err is not None:
-                    return attempt.refused_reply(err, RETRY_AFTER_MS)
+                    return attempt.refused_reply(err, retry_after_ms(sidecar))
                 # A crash may have made the request a suspect while it was queued.
                 if suspect or not _is_suspect(sidecar, attempt):
                     attempt.isolated = suspect
@@ -155,6 +160,7 @@
             return await _error_reply(sidecar, attempt, result)
         response = result.value
         _record_rate_limit(sidecar, attempt, response)
+        _record_retry_after(sidecar, attempt, response)
         overloaded = response.status in OVERLOAD_STATUSES
         sidecar.observe_latency(trio.current_time() - started_s, overloaded=overloaded)
         await attempt.send(Head(attempt.req.stream, response.status, response.headers))
@@ -179,6 +185,24 @@
         sidecar.rate_limits.record(notice, source="response")
 
 
+def _record_retry_after(
+    sidecar: Sidecar, attempt: Attempt, response: UpstreamResponse
+) -> None:
+    """Take over the time in which the upstream wants no further requests."""
+    value = dict(response.headers).get("retry-after", "")
+    delay_s = parse_retry_after(value.encode("latin-1"))
+    if response.status not in OVERLOAD_STATUSES or delay_s is None:
+        return
+    sidecar.backoffs.record(attempt.instance, delay_s)
+    events.log(
+        events.Event.RETRY_AFTER_RECEIVED,
+        request_id=attempt.req.request_id,
+        upstream=sidecar.upstream,
+        status=response.status,
+        retry_after_ms=round(delay_s * 1_000),
+    )
+
+
 def _is_token_stream(attempt: Attempt, response: UpstreamResponse) -> bool:
     return attempt.req.streamed and response.status == 200 and response.is_event_stream
 
--- a/src/mustardfront/programs/sidecar/_state.py
+++ b/src/mustardfront/programs/sidecar/_state.py
@@ -14,7 +14,7 @@
 from mustardfront.coordination.limits import AdaptiveLimit, FairQueue, Slot
 from mustardfront.coordination.peers import PeerHub
 from mustardfront.coordination.quarantine import CrashEvidence, Quarantine
-from mustardfront.coordination.traffic import RateLimits
+from mustardfront.coordination.traffic import Backoffs, RateLimits
 from mustardfront.programs.sidecar._attempt import Attempt
 from mustardfront.programs.sidecar._upstream import UpstreamClient
 from mustardfront.protocol import Leaving, LoadReport, Request
@@ -66,6 +66,7 @@
         self.crash_evidence = CrashEvidence(trio.current_time)
         # This sidecar alone sends to its upstream, so its share is the whole limit.
         self.rate_limits = RateLimits(trio.current_time)
+        self.backoffs = Backoffs(trio.current_time)
         self.queue = FairQueue(lambda: self.limit, self.limits.queue)
         self.set_limits(self.limits)
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -155,6 +155,18 @@
         assert "g0" in chosen_upstreams(table, cfg)
 
 
+def test_paused_upstream_gets_no_requests_for_that_time():
+    """Guards against attempts at a sidecar that has said when to come back."""
+    cfg = make_config(2)
+    table, clock = make_table(cfg)
+    table.pause("g0", 3.0)
+    table.pause("g0", 1.0)
+    clock.now += 2.9
+    assert chosen_upstreams(table, cfg) == {"g1"}
+    clock.now += 0.2
+    assert chosen_upstreams(table, cfg) == {"g0", "g1"}
+
+
 def test_ejected_upstream_gets_one_probe_at_a_time_then_slow_start():
     cfg = make_config()
     table, clock = make_table(cfg)
--- a/tests/test_sidecar_attempts.py
+++ b/tests/test_sidecar_attempts.py
@@ -318,3 +318,26 @@
     for _ in range(5):
         conn = await run(sidecar, make_request())
         assert conn.sent[-1].code == Code.ANSWERED
+
+
+async def test_upstream_gets_no_request_in_the_time_of_its_retry_after(autojump_clock):
+    """Guards against an upstream in need that its sidecar goes on to load."""
+
+    def answer(call):
+        response = FakeResponse([b"x"], is_event_stream=False)
+        if busy:
+            response.status, response.headers = 503, (("retry-after", "3"),)
+        return response
+
+    busy = True
+    sidecar = await make_sidecar(answer)
+    for _ in range(28):
+        conn = await run(sidecar, make_request())
+        await trio.sleep(0.1)
+    assert len(sidecar.client.calls) == 1
+    refused = conn.sent[-1]
+    assert refused.code == Code.UPSTREAM_LIMIT and refused.not_run
+    assert 200 <= refused.retry_after_ms <= 400
+    busy = False
+    await trio.sleep(0.3)
+    assert (await run(sidecar, make_request())).sent[-1].code == Code.ANSWERED
