Send no more requests to an upstream that says that it leaves

Callers' requests could reach an upstream after it had told an entry, in its answers, that it was about to end: the entry went by the store alone, which may be away, late, or back from an older copy.

Class: a bound that the other side names and nobody reads. An entry now takes the header from the head of each answer, except from one with status 421, which may be of another process, and sends that process no more requests, whatever the store announces of it later.

--- a/src/mustardfront/coordination/traffic/_upstreams.py
+++ b/src/mustardfront/coordination/traffic/_upstreams.py
@@ -41,7 +41,8 @@
     """An upstream with this entry's view of its load and health.
 
     ``blocked_until`` is the end of its exclusion after failures, ``refused_until`` of
-    the pause after a refusal.
+    the pause after a refusal. ``leaving`` is set once its responses say that it is
+    about to end.
     """
 
     announced: UpstreamInstance
@@ -50,6 +51,7 @@
     blocked_until: float = 0.0
     refused_until: float = 0.0
     lapsed: bool = False
+    leaving: bool = False
 
     @property
     def instance(self) -> str:
@@ -66,7 +68,8 @@
         """Return whether the upstream accepts new requests."""
         seat = self.announced.seat
         is_open = seat is None or seat.is_open
-        return is_open and self.announced.state is UpstreamState.READY
+        is_ready = self.announced.state is UpstreamState.READY
+        return is_open and is_ready and not self.leaving
 
     @property
     def group(self) -> str:
@@ -100,6 +103,8 @@
         # The last announcements of those that the store no longer listed. A store that
         # comes back from an older copy may list them again.
         self._removed: dict[str, UpstreamInstance] = {}
+        # Processes whose responses said that they are about to end, oldest first.
+        self._leaving: dict[str, None] = {}
         self._by_service: dict[str, tuple[Upstream, ...]] = {}
         # By address; an agent knows the upstream on its host by its address.
         self._slowness: dict[tuple[str, int], float] = {}
@@ -251,6 +256,25 @@
             pause_ms=round(min(BLOCK_MAX_S, pause_s) * 1000),
         )
 
+    def record_leaving(self, upstream: Upstream) -> None:
+        """Send an upstream no more requests, whatever the store announces of it."""
+        incarnation = upstream.incarnation
+        if incarnation in self._leaving:
+            return
+        self._leaving[incarnation] = None
+        while len(self._leaving) > ENDED_MAX:
+            del self._leaving[next(iter(self._leaving))]
+        known = self._upstreams.get(upstream.instance)
+        if known is not None:
+            known.leaving = known.leaving or known.incarnation == incarnation
+        events.log(
+            events.Event.UPSTREAM_STATE,
+            upstream=upstream.instance,
+            state=UpstreamState.DRAINING.value,
+            source="response",
+        )
+        self._rebuild_index()
+
     def record_refusal(self, upstream: Upstream) -> None:
         """Pause an upstream briefly after it refused a request."""
         upstream.refused_until = self._clock() + REFUSED_PAUSE_S
@@ -334,6 +358,7 @@
         known = self._upstreams.get(announced.instance)
         if known is None or known.announced.born_ms != announced.born_ms:
             known = self._upstreams[announced.instance] = Upstream(announced)
+            known.leaving = known.incarnation in self._leaving
             self._removed.pop(announced.instance, None)
         elif announced.sequence < known.announced.sequence:
             # A restored store lists older announcements for a moment.
--- a/src/mustardfront/programs/gateway/_forward.py
+++ b/src/mustardfront/programs/gateway/_forward.py
@@ -143,6 +143,9 @@
     def on_head(status: int, headers: Mapping[bytes, bytes]) -> None:
         _record_rate_limit(fwd, upstream, status, headers)
         _record_retry_after(fwd, req, upstream, status, headers)
+        # With status 421, another process may have taken over the address.
+        if status != 421 and headers.get(fwd.header_names.leaving) == b"1":
+            fwd.state.record_leaving(upstream)
 
     progress.begin_attempt(on_first_event)
     started_at, events_before = trio.current_time(), progress.event_count
--- a/src/mustardfront/programs/gateway/_header_names.py
+++ b/src/mustardfront/programs/gateway/_header_names.py
@@ -15,7 +15,8 @@
     upstream that caused a failure. ``prompt_parts`` lists the parts of a prompt in
     order, as ID:TOKENS entries separated by commas. ``rate_limit``
     is on responses of an upstream in need: the requests a second that it takes from
-    all entries together, a decimal number.
+    all entries together, a decimal number. ``leaving`` is 1 on all responses of an
+    upstream that is about to end.
     """
 
     request_id: bytes = b"x-request-id"
@@ -31,4 +32,5 @@
     token_counts: bytes = b"x-token-counts"
     prompt_parts: bytes = b"x-prompt-parts"
     rate_limit: bytes = b"x-rate-limit"
+    leaving: bytes = b"x-leaving"
     key_scheme: str = "Bearer"
--- a/tests/test_retry_after.py
+++ b/tests/test_retry_after.py
@@ -7,7 +7,7 @@
 import pytest
 import trio
 
-from gateway_fakes import FakeUpstream, gateway, instance, respond, send_request
+from gateway_fakes import SEAL, FakeUpstream, gateway, instance, respond, send_request
 from mustardfront.coordination.traffic import (
     Backoffs,
     TrafficState,
@@ -94,3 +94,19 @@
 )
 def test_retry_after_is_a_number_of_seconds(value, delay_s):
     assert parse_retry_after(value) == delay_s
+
+
+async def test_upstream_that_says_that_it_leaves_gets_no_further_request():
+    """Guards against requests at an upstream that ends before its drain is known."""
+    leaving = FakeUpstream([respond(200, extra=SEAL + b"x-leaving: 1\r\n")])
+    other = FakeUpstream([respond(200)])
+    async with gateway({"u1": leaving, "u2": other}) as gw:
+        announced = gw.state.get("u1").announced
+        for number in range(20):
+            headers = {"x-request-id": f"r{number}"}
+            assert (await send_request(gw, "/get/x", headers=headers)).status == 200
+            # Its announcement is written again, unchanged.
+            gw.state.apply(announced, keep_missing=False)
+        assert len(leaving.requests) == 1
+        gw.state.apply(replace(announced, born_ms=5), keep_missing=False)
+        assert len(gw.state.upstreams_of("svc")) == 2
