Write a message again that is put again while it is written

The report was put again, and the answer to the first write removed it from the outbox, as it was the same object. The new test fails on the code before.

--- a/src/mustardfront/programs/gateway/_outbox.py
+++ b/src/mustardfront/programs/gateway/_outbox.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Any, Final, Generic, TypeVar
 
 import trio
@@ -16,6 +17,13 @@
 MessageT = TypeVar("MessageT")
 
 
+@dataclass(eq=False, slots=True)
+class _Pending(Generic[MessageT]):
+    """A message as it was put; the same one may be put again while it is written."""
+
+    message: MessageT
+
+
 class Outbox(Generic[MessageT]):
     """Pending messages by key; a later message replaces one that still waits.
 
@@ -24,16 +32,17 @@
 
     def __init__(self, delay_s: Callable[[], float]) -> None:
         self._delay_s = delay_s
-        self._pending: dict[str, MessageT] = {}
+        self._pending: dict[str, _Pending[MessageT]] = {}
         self._wakeup = trio.Event()
 
     def get(self, key: str) -> MessageT | None:
         """Return the message that waits under a key."""
-        return self._pending.get(key)
+        pending = self._pending.get(key)
+        return pending.message if pending else None
 
     def put(self, key: str, message: MessageT) -> None:
         """Add a message, or replace the one under its key."""
-        self._pending[key] = message
+        self._pending[key] = _Pending(message)
         while len(self._pending) > PENDING_MAX:
             del self._pending[next(iter(self._pending))]
         self._wakeup.set()
@@ -44,11 +53,11 @@
             await self._wakeup.wait()
             await trio.sleep(self._delay_s())
             self._wakeup = trio.Event()
-            for key, message in tuple(self._pending.items()):
-                written = await write(message)
+            for key, pending in tuple(self._pending.items()):
+                written = await write(pending.message)
                 if isinstance(written, Err):
                     self._wakeup.set()
                     await trio.sleep(RETRY_S)
                     break
-                if self._pending.get(key) is message:
+                if self._pending.get(key) is pending:
                     del self._pending[key]
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -25,7 +25,8 @@
 from mustardfront.metrics import Metrics
 from mustardfront.programs.gateway._crash import CrashReporter
 from mustardfront.programs.gateway._main import _announce_rate_limits
-from mustardfront.results import Err, Ok
+from mustardfront.programs.gateway._outbox import Outbox
+from mustardfront.results import Err, Ok, Result
 from mustardfront.state import UpstreamInstance, UpstreamState
 from mustardfront_platform._store import open_store
 from platform_fakes import FakeStore, operator_config, running_store, worker_record
@@ -258,6 +259,26 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_message_put_again_while_it_is_written_is_written_again():
+    """Guards against a report that is lost if the store is restored just then."""
+    outbox = Outbox[str](lambda: 0.0)
+    writes = 0
+
+    async def write(message: str) -> Result[None]:
+        nonlocal writes
+        writes += 1
+        if writes == 1:
+            outbox.put("key", message)
+        await trio.lowlevel.checkpoint()
+        return Ok(None)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(outbox.run, write)
+        outbox.put("key", "report")
+        await wait_until(lambda: writes == 2 and outbox.get("key") is None)
+        nursery.cancel_scope.cancel()
+
+
 async def test_entry_announces_lost_rate_limits_after_a_restore():
     """Guards against rate limits that are known but written by nobody again."""
     store = FakeStore()
