Move the memory of ended upstreams to a module of its own

Nothing changes, but that the oldest of more than 4,096 replaced processes are forgotten instead of all.

--- a/src/mustardfront/coordination/traffic/_upstreams.py
+++ b/src/mustardfront/coordination/traffic/_upstreams.py
@@ -11,6 +11,7 @@
 from mustardfront import events
 from mustardfront.coordination.quarantine import CrashEvidence, CrashReport
 from mustardfront.coordination.traffic._backoff import Backoffs
+from mustardfront.coordination.traffic._ended import EndedUpstreams
 from mustardfront.coordination.traffic._feed import (
     Change,
     EntryChange,
@@ -31,9 +32,6 @@
 REFUSED_PAUSE_S: Final = 0.15
 # All ranks of a group refuse requests when one rank is lost, so all are paused.
 GROUP_PAUSE_S: Final = 0.4
-# Limit on the ended incarnations that are remembered, so that an announcement still
-# in the store does not add them again.
-ENDED_MAX: Final = 4_096
 
 
 @dataclass(slots=True)
@@ -97,14 +95,7 @@
         self._lapsed_entries: frozenset[str] = frozenset()
         self._store_returned = trio.Event()
         self._upstreams: dict[str, Upstream] = {}
-        # The born_ms of incarnations that were replaced at their address, even if the
-        # store still announces them.
-        self._ended_incarnations: dict[str, int] = {}
-        # The last announcements of those that the store no longer listed. A store that
-        # comes back from an older copy may list them again.
-        self._removed: dict[str, UpstreamInstance] = {}
-        # Processes whose responses said that they are about to end, oldest first.
-        self._leaving: dict[str, None] = {}
+        self._ended = EndedUpstreams()
         self._by_service: dict[str, tuple[Upstream, ...]] = {}
         # By address; an agent knows the upstream on its host by its address.
         self._slowness: dict[tuple[str, int], float] = {}
@@ -170,7 +161,7 @@
             for notice in snapshot.rate_limits:
                 self.rate_limits.record_announced(notice)
         for announced in snapshot.upstreams.values():
-            if not (is_restored and self._was_removed(announced)):
+            if not (is_restored and self._ended.was_removed(announced)):
                 self._apply_announcement(announced)
         for instance in self._upstreams.keys() - snapshot.upstreams.keys():
             self._remove_upstream(instance, keep_missing)
@@ -259,11 +250,8 @@
     def record_leaving(self, upstream: Upstream) -> None:
         """Send an upstream no more requests, whatever the store announces of it."""
         incarnation = upstream.incarnation
-        if incarnation in self._leaving:
+        if not self._ended.record_leaving(incarnation):
             return
-        self._leaving[incarnation] = None
-        while len(self._leaving) > ENDED_MAX:
-            del self._leaving[next(iter(self._leaving))]
         known = self._upstreams.get(upstream.instance)
         if known is not None:
             known.leaving = known.leaving or known.incarnation == incarnation
@@ -281,7 +269,7 @@
 
     def remove_incarnation(self, upstream: Upstream) -> None:
         """Remove an incarnation after another one answered at its address."""
-        self._ended_incarnations[upstream.instance] = upstream.announced.born_ms
+        self._ended.record_replaced(upstream.announced)
         self._remove_upstream(upstream.instance, keep=False)
         self._rebuild_index()
 
@@ -353,13 +341,13 @@
         )
 
     def _apply_announcement(self, announced: UpstreamInstance) -> None:
-        if self._ended_incarnations.get(announced.instance) == announced.born_ms:
+        if self._ended.is_replaced(announced):
             return
         known = self._upstreams.get(announced.instance)
         if known is None or known.announced.born_ms != announced.born_ms:
             known = self._upstreams[announced.instance] = Upstream(announced)
-            known.leaving = known.incarnation in self._leaving
-            self._removed.pop(announced.instance, None)
+            known.leaving = self._ended.is_leaving(known.incarnation)
+            self._ended.forget_removed(announced.instance)
         elif announced.sequence < known.announced.sequence:
             # A restored store lists older announcements for a moment.
             return
@@ -373,15 +361,6 @@
                 state=announced.state.value,
             )
 
-    def _was_removed(self, announced: UpstreamInstance) -> bool:
-        """Return whether the store removed this announcement or a later one before."""
-        removed = self._removed.get(announced.instance)
-        return (
-            removed is not None
-            and removed.born_ms == announced.born_ms
-            and removed.sequence >= announced.sequence
-        )
-
     def _remove_predecessors(self, announced: UpstreamInstance) -> None:
         """Remove earlier incarnations at the same address; they have ended."""
         for other in tuple(self._upstreams.values()):
@@ -397,12 +376,8 @@
             known.lapsed = True
             return
         del self._upstreams[instance]
-        self._removed[instance] = known.announced
-        while len(self._removed) > ENDED_MAX:
-            del self._removed[next(iter(self._removed))]
+        self._ended.record_removed(known.announced)
         self.rate_limits.forget(known.incarnation)
-        if not keep and len(self._ended_incarnations) > ENDED_MAX:
-            self._ended_incarnations.clear()
         events.log(events.Event.UPSTREAM_LEAVING, upstream=instance, reason="gone")
 
     def _rebuild_index(self) -> None:
