Drain an upstream that says that it leaves

The sidecar now drains on the header, which tells the entries too, until another instance runs or nothing listens any more.

--- a/src/mustardfront/programs/sidecar/_health.py
+++ b/src/mustardfront/programs/sidecar/_health.py
@@ -133,13 +133,14 @@
             self._failures = 0
             if sidecar.instance and result.instance != sidecar.instance:
                 await self._handle_restart(result.instance)
-            sidecar.instance = result.instance
+            sidecar.set_instance(result.instance)
             sidecar.set_healthy(True, "")
             return result
         if result.cut and not periodic:
             return result
         self._failures += 1
         if result.refused:
+            sidecar.handle_refused_connection()
             await self._handle_refused_connection()
             sidecar.set_healthy(False, result.text)
         elif self._failures >= FAILURES_TO_DOWN:
--- a/src/mustardfront/programs/sidecar/_relay.py
+++ b/src/mustardfront/programs/sidecar/_relay.py
@@ -39,6 +39,8 @@
 CANCEL_TIMEOUT_S: Final = 1.0
 # On responses of an upstream in need: the requests a second that it takes.
 RATE_LIMIT_HEADER: Final = "x-rate-limit"
+# 1 on all responses of an upstream that is about to end.
+LEAVING_HEADER: Final = "x-leaving"
 # HTTP statuses by which an upstream reports overload.
 OVERLOAD_STATUSES: Final = frozenset({429, 503})
 
@@ -161,6 +163,8 @@
         response = result.value
         _record_rate_limit(sidecar, attempt, response)
         _record_retry_after(sidecar, attempt, response)
+        if dict(response.headers).get(LEAVING_HEADER) == "1":
+            sidecar.record_leaving(attempt.instance)
         overloaded = response.status in OVERLOAD_STATUSES
         sidecar.observe_latency(trio.current_time() - started_s, overloaded=overloaded)
         await attempt.send(Head(attempt.req.stream, response.status, response.headers))
--- a/src/mustardfront/programs/sidecar/_state.py
+++ b/src/mustardfront/programs/sidecar/_state.py
@@ -31,6 +31,9 @@
 LIMIT_LOG_DIVISOR: Final = 4
 
 
+_LEAVING_REASON: Final = "upstream"
+
+
 async def _never_crashed(_attempt: Attempt) -> bool:
     return False
 
@@ -123,6 +126,21 @@
             )
             self.notify_load_changed()
 
+    def record_leaving(self, instance: str) -> None:
+        """Drain, because a response of this instance said that it is about to end."""
+        if instance == self.instance:
+            self.set_drain(_LEAVING_REASON, True)
+
+    def set_instance(self, instance: str) -> None:
+        """Record the instance that runs now; another one than before is not leaving."""
+        if instance != self.instance:
+            self.set_drain(_LEAVING_REASON, False)
+        self.instance = instance
+
+    def handle_refused_connection(self) -> None:
+        """Record that no process runs; one without a name is not leaving any more."""
+        self.set_drain(_LEAVING_REASON, False)
+
     def set_healthy(self, healthy: bool, text: str) -> None:
         """Record the result of a health check; log and report a change of it."""
         if healthy == self.healthy:
--- a/tests/test_sidecar_attempts.py
+++ b/tests/test_sidecar_attempts.py
@@ -341,3 +341,21 @@
     busy = False
     await trio.sleep(0.3)
     assert (await run(sidecar, make_request())).sent[-1].code == Code.ANSWERED
+
+
+async def test_upstream_that_says_that_it_leaves_is_drained(autojump_clock):
+    """Guards against new work for an upstream that is about to end."""
+
+    def answer(call):
+        response = FakeResponse([b"x"], is_event_stream=False)
+        response.headers = (("x-leaving", "1"),)
+        return response
+
+    sidecar = await make_sidecar(answer)
+    await run(sidecar, make_request())
+    conn = await run(sidecar, make_request())
+    assert len(sidecar.client.calls) == 1
+    assert conn.sent[-1].code == Code.DRAINING and conn.sent[-1].not_run
+    # Its successor gets requests again.
+    sidecar.set_instance("i2")
+    assert not sidecar.draining
