Take deeply nested JSON for invalid data

Each process that read the platform's store ended, was started and ended again, while one record there was nested a thousand levels deep; the same JSON in a caller's body ended the attempt with an internal error.

Cause: the decoder raises RecursionError for it, and every reader expected its own errors for invalid data only. Class: an error of a library outside of the family that is handled. The test fails on the code before for a configuration, a worker's announcement and an own record.

--- a/src/mustardfront/coordination/config/_push.py
+++ b/src/mustardfront/coordination/config/_push.py
@@ -10,6 +10,7 @@
 
 from mustardfront.codes import Code
 from mustardfront.coordination.config._records import decode_ticket, encode_ticket
+from mustardfront.decoding import decode_json
 from mustardfront.results import Err, Ok, Result
 from mustardfront.state import (
     Config,
@@ -75,7 +76,7 @@
     """
     try:
         raw = zlib.decompress(data)
-        pushed = msgspec.json.decode(raw, type=_TicketBatch)
+        pushed = decode_json(raw, _TicketBatch)
     except msgspec.MsgspecError:
         snapshot = config_from_bytes(data)
         return snapshot if isinstance(snapshot, Err) else Ok((snapshot.value, []))
--- a/src/mustardfront/coordination/config/_records.py
+++ b/src/mustardfront/coordination/config/_records.py
@@ -12,6 +12,7 @@
 from mustardfront.codes import Code
 from mustardfront.coordination.config._kv import Kv
 from mustardfront.coordination.kv import KvValue
+from mustardfront.decoding import decode_json
 from mustardfront.results import Err, Ok, Result
 from mustardfront.state import (
     Config,
@@ -62,7 +63,7 @@
 def decode_ticket(data: bytes) -> Result[Ticket]:
     """Return the ticket in JSON, or Err(TICKET_MALFORMED)."""
     try:
-        return ticket_from_data(msgspec.json.decode(data, type=dict))
+        return ticket_from_data(decode_json(data, dict))
     except msgspec.MsgspecError as exc:
         return Err(Code.TICKET_MALFORMED, f"malformed ticket: {exc}")
 
@@ -87,7 +88,7 @@
 def decode_head_bytes(data: bytes) -> Result[Head]:
     """Return the head in the bytes of a record, or Err(BAD_MESSAGE)."""
     try:
-        return Ok(msgspec.json.decode(data, type=Head))
+        return Ok(decode_json(data, Head))
     except msgspec.MsgspecError as exc:
         return Err(Code.BAD_MESSAGE, f"malformed record {HEAD_KEY}: {exc}")
 
--- a/src/mustardfront/coordination/expertmap/_links.py
+++ b/src/mustardfront/coordination/expertmap/_links.py
@@ -13,6 +13,7 @@
 from mustardfront.codes import Code
 from mustardfront.coordination.expertmap._rank import LocalRank, execute_order
 from mustardfront.coordination.peers import ControlHandler
+from mustardfront.decoding import decode_json
 from mustardfront.protocol import (
     Identity,
     Message,
@@ -255,7 +256,7 @@
 
 def _parse_reply(reply: OrderReply) -> Result[dict[str, Any]]:
     try:
-        data = msgspec.json.decode(reply.data, type=dict[str, Any])
+        data = decode_json(reply.data, dict[str, Any])
         code = Code(reply.code)
     except (msgspec.MsgspecError, ValueError) as exc:
         return Err(Code.BAD_MESSAGE, f"invalid order reply: {exc}")
--- a/src/mustardfront/coordination/expertmap/_rank.py
+++ b/src/mustardfront/coordination/expertmap/_rank.py
@@ -14,6 +14,7 @@
 from mustardfront import events
 from mustardfront.codes import Code
 from mustardfront.coordination.expertmap._types import RankState, parse_state
+from mustardfront.decoding import decode_json
 from mustardfront.protocol import Order, OrderReply
 from mustardfront.results import Err, Ok, Result
 
@@ -81,7 +82,7 @@
     if order.kind not in _WRITE_PATHS:
         return Err(Code.BAD_MESSAGE, f"unknown order kind {order.kind!r}")
     try:
-        data = msgspec.json.decode(order.data, type=dict[str, Any])
+        data = decode_json(order.data, dict[str, Any])
     except msgspec.MsgspecError as exc:
         return Err(Code.BAD_MESSAGE, f"invalid data of order {order.kind}: {exc}")
     if rank.outcome_unknown:
--- a/src/mustardfront/coordination/expertmap/_task.py
+++ b/src/mustardfront/coordination/expertmap/_task.py
@@ -37,6 +37,7 @@
 )
 from mustardfront.coordination.expertmap._rank import RankCall
 from mustardfront.coordination.expertmap._types import RankState, parse_state
+from mustardfront.decoding import decode_json
 from mustardfront.protocol import Identity, connect_peer
 from mustardfront.results import Err, Ok, Result
 from mustardfront.state import Config, Group, first_map
@@ -71,7 +72,7 @@
                 content=msgspec.json.encode(body) if body is not None else None,
                 extensions={"timeout": timeout},
             )
-            data = msgspec.json.decode(response.content, type=dict[str, Any])
+            data = decode_json(response.content, dict[str, Any])
         except (
             httpcore.NetworkError,
             httpcore.TimeoutException,
--- a/src/mustardfront/coordination/hosts/_list.py
+++ b/src/mustardfront/coordination/hosts/_list.py
@@ -12,6 +12,7 @@
 
 from mustardfront import events
 from mustardfront.codes import Code
+from mustardfront.decoding import decode_json
 from mustardfront.results import Err, Ok, Result
 
 POLL_MIN_S: Final = 2.0
@@ -51,7 +52,7 @@
 def parse_hosts(body: bytes) -> Result[tuple[HostEntry, ...]]:
     """Return the entries of ``{"hosts": [...]}``, or Err(UPSTREAM_BAD_ANSWER)."""
     try:
-        raw: dict[str, Any] = msgspec.json.decode(body, type=dict[str, Any])
+        raw: dict[str, Any] = decode_json(body, dict[str, Any])
         entries = msgspec.convert(raw["hosts"], tuple[HostEntry, ...])
     except (msgspec.MsgspecError, KeyError) as exc:
         return Err(Code.UPSTREAM_BAD_ANSWER, f"malformed host list: {exc}")
--- a/src/mustardfront/coordination/idempotency/_members.py
+++ b/src/mustardfront/coordination/idempotency/_members.py
@@ -16,6 +16,7 @@
 from mustardfront.constants import KV_RETRY_DELAY_S, OWNER_KEEPALIVE_S, OWNER_LEASE_S
 from mustardfront.coordination.idempotency._key import owner_order
 from mustardfront.coordination.kv import KvClient
+from mustardfront.decoding import decode_json
 from mustardfront.results import Err, Ok, Result
 
 MEMBERS_PREFIX: Final = "/mustardfront/idem-members"
@@ -82,7 +83,7 @@
         for key, value in values.value.items():
             name = key.removeprefix(prefix)
             try:
-                view[name] = msgspec.json.decode(value.value, type=Member)
+                view[name] = decode_json(value.value, Member)
             except msgspec.DecodeError as exc:
                 # A member that cannot be decoded owns no partition; keep the others.
                 text = f"cannot decode member {name}: {exc}"
--- a/src/mustardfront/coordination/kv/_client.py
+++ b/src/mustardfront/coordination/kv/_client.py
@@ -21,6 +21,7 @@
     KV_CALL_TIMEOUT_S,
     KV_CONNECTIONS,
 )
+from mustardfront.decoding import decode_json
 from mustardfront.results import Err, Ok, Result
 
 _PATHS: Final = {
@@ -252,7 +253,7 @@
         if response.status >= 400:
             return _error_from_response(kind, response, ambiguous_code)
         try:
-            body = msgspec.json.decode(response.content, type=dict[str, Any])
+            body = decode_json(response.content, dict[str, Any])
         except msgspec.DecodeError as exc:
             return Err(ambiguous_code, f"{kind}: malformed response: {exc}")
         self._note_revision(body, *before)
@@ -302,7 +303,7 @@
         async for data in response.aiter_stream():
             *lines, buffer = (buffer + data).split(b"\n")
             for line in filter(None, lines):
-                message = msgspec.json.decode(line, type=dict[str, Any])
+                message = decode_json(line, dict[str, Any])
                 result = message.get("result", {})
                 if result.get("canceled"):
                     return
--- a/src/mustardfront/coordination/rankmaps/_order_handler.py
+++ b/src/mustardfront/coordination/rankmaps/_order_handler.py
@@ -28,6 +28,7 @@
     RankReport,
     apply_changes,
 )
+from mustardfront.decoding import decode_json
 from mustardfront.protocol import Order, OrderReply
 from mustardfront.results import Err, Ok, Result
 from mustardfront.state import LayerMap
@@ -130,10 +131,10 @@
     async def _dispatch(self, order: Order) -> Result[Any]:
         try:
             if order.kind == STATE_QUERY:
-                query = msgspec.json.decode(order.data, type=StateQuery)
+                query = decode_json(order.data, StateQuery)
                 return await self._query_state(query)
             if order.kind == ORDER_REQUEST:
-                req = msgspec.json.decode(order.data, type=OrderRequest)
+                req = decode_json(order.data, OrderRequest)
                 return await self._execute_order(req)
         except msgspec.MsgspecError as exc:
             return Err(Code.BAD_MESSAGE, f"{order.kind}: {exc}")
--- a/src/mustardfront/coordination/rankmaps/_relay.py
+++ b/src/mustardfront/coordination/rankmaps/_relay.py
@@ -19,6 +19,7 @@
 import trio
 
 from mustardfront.codes import Code
+from mustardfront.decoding import decode_json
 from mustardfront.protocol import Order, OrderReply
 from mustardfront.results import Err, Ok, Result
 
@@ -71,7 +72,7 @@
     async def execute(self, order: Order) -> OrderReply:
         """Forward the request in an order and return the reply with all answers."""
         try:
-            req = msgspec.json.decode(order.data, type=RelayRequest)
+            req = decode_json(order.data, RelayRequest)
         except msgspec.MsgspecError as exc:
             text = msgspec.json.encode({"text": f"{order.kind}: {exc}"})
             return OrderReply(order.id, int(Code.BAD_MESSAGE), text)
--- a/src/mustardfront/programs/entry/_attempt.py
+++ b/src/mustardfront/programs/entry/_attempt.py
@@ -10,6 +10,7 @@
 
 from mustardfront.codes import Code, Outcome, parse_code, parse_outcome
 from mustardfront.coordination.routing import UpstreamTable
+from mustardfront.decoding import decode_json
 from mustardfront.programs.entry._answers import Answer, Finish
 from mustardfront.programs.entry._callers import CallerRequest
 from mustardfront.protocol import (
@@ -211,6 +212,6 @@
 
 def _token_text(payload: bytes) -> str:
     try:
-        return str(msgspec.json.decode(payload)["choices"][0]["text"])
+        return str(decode_json(payload)["choices"][0]["text"])
     except (msgspec.DecodeError, KeyError, IndexError, TypeError):
         return ""
--- a/src/mustardfront/programs/entry/_callers.py
+++ b/src/mustardfront/programs/entry/_callers.py
@@ -20,6 +20,7 @@
     PRIORITY_MAX,
     REQUEST_ID_MAX_CHARS,
 )
+from mustardfront.decoding import decode_json
 from mustardfront.results import Err, Ok, Result
 from mustardfront.state import Config, Route, Service, Team
 
@@ -175,7 +176,7 @@
 
 def _check_model_call(cfg: Config, body: bytes) -> Result[_CheckedCall]:
     try:
-        data: Any = msgspec.json.decode(body)
+        data: Any = decode_json(body)
         model = msgspec.convert(data["model"], str)
         prompt = msgspec.convert(data["prompt"], str)
         streamed = msgspec.convert(data.get("stream", False), bool)
--- a/src/mustardfront/programs/sidecar/_admission.py
+++ b/src/mustardfront/programs/sidecar/_admission.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from mustardfront.codes import Code
+from mustardfront.decoding import decode_json
 from mustardfront.programs._crash_reports import part_content
 from mustardfront.programs.sidecar._state import Sidecar
 from mustardfront.programs.sidecar._upstream import UpstreamCall
@@ -113,7 +114,7 @@
 def _streaming_body(req: Request) -> Result[bytes]:
     """Return the body with ``stream`` set and the position of a resumed answer."""
     try:
-        body = msgspec.json.decode(req.body, type=dict[str, Any])
+        body = decode_json(req.body, dict[str, Any])
     except msgspec.DecodeError as exc:
         return Err(Code.MALFORMED_REQUEST, f"the body is not a JSON object: {exc}")
     if req.resume_from == 0 and body.get("stream") is True:
--- a/src/mustardfront/programs/sidecar/_health.py
+++ b/src/mustardfront/programs/sidecar/_health.py
@@ -11,6 +11,7 @@
 from mustardfront import events
 from mustardfront.codes import Code
 from mustardfront.coordination.quarantine import CrashSuspect, blamed_fingerprints
+from mustardfront.decoding import decode_json
 from mustardfront.programs._crash_reports import make_crash_report, record_suspects
 from mustardfront.programs.sidecar._attempt import Attempt
 from mustardfront.programs.sidecar._state import Sidecar
@@ -81,7 +82,7 @@
 def _decode_instance(body: bytes) -> str:
     """Return the instance, or ``""`` for a plain service that reports none."""
     try:
-        return msgspec.json.decode(body, type=_HealthBody).instance
+        return decode_json(body, _HealthBody).instance
     except msgspec.DecodeError:
         return ""
 
--- a/src/mustardfront/state/_ticket.py
+++ b/src/mustardfront/state/_ticket.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from mustardfront.codes import Code
+from mustardfront.decoding import decode_json
 from mustardfront.results import Err, Ok, Result
 from mustardfront.state._config import (
     SECTIONS,
@@ -155,7 +156,7 @@
 def config_from_bytes(data: bytes) -> Result[Config]:
     """Return the configuration in compressed JSON; Err(BAD_MESSAGE) if malformed."""
     try:
-        raw = msgspec.json.decode(zlib.decompress(data), type=_Snapshot)
+        raw = decode_json(zlib.decompress(data), _Snapshot)
     except (zlib.error, msgspec.MsgspecError) as exc:
         return Err(Code.BAD_MESSAGE, f"malformed configuration: {exc}")
     sections = {
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -128,6 +128,28 @@
         assert compacted.code is Code.STORE_HISTORY_GONE
 
 
+def nested(depth: int) -> bytes:
+    return b'{"service": "svc", "extra": ' + b"[" * depth + b"]" * depth + b"}"
+
+
+@pytest.mark.parametrize("key", ["op/config", "servers/i-1", "mustardfront/limits/i-1"])
+async def test_deeply_nested_record_does_not_end_the_process(key):
+    """Guards against one odd record that ends each process that reads the store."""
+    store = FakeStore()
+    store.put("op/config", operator_config())
+    store.put("servers/i-2", worker_record("10.0.0.2:80"))
+    async with running_store(store), open_store(store.address, Metrics()) as client:
+        before = store.revision
+        store.put(key, nested(100_000))
+        store.put("servers/i-3", worker_record("10.0.0.3:80"))
+        changes = await client.wait_for_changes(before, 1.0)
+        assert isinstance(changes, Ok)
+        assert changes.value.changes[-1].instance == "i-3"
+        snapshot = await client.snapshot()
+        assert isinstance(snapshot, Ok)
+        assert snapshot.value.upstreams.keys() == {"i-2", "i-3"}
+
+
 @pytest.mark.parametrize("status", [429, 500, 503])
 async def test_error_status_of_the_store_means_unavailable(status):
     async with running_store() as store, open_store(store.address, Metrics()) as client:
