--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -80,6 +80,19 @@
     assert isinstance(decode_config(data), Err)
 
 
+def rank_fields(rank: int, size: int) -> dict[str, object]:
+    group = {"name": "g", "epoch": 1, "rank": rank, "state": "open"}
+    return {"group": group, "size": size}
+
+
+def test_worker_announcement_with_a_group_is_decoded():
+    record = worker_record("10.0.0.1:80", **rank_fields(7, 8))
+    decoded = decode_worker("i-1", json.dumps(record).encode())
+    assert isinstance(decoded, Ok)
+    assert decoded.value.seat is not None
+    assert (decoded.value.seat.rank, decoded.value.seat.size) == (7, 8)
+
+
 @pytest.mark.parametrize(
     "data",
     [
@@ -89,9 +102,25 @@
         json.dumps(worker_record("10.0.0.1:80", state="resting")).encode(),
         json.dumps(worker_record("nowhere")).encode(),
         json.dumps(worker_record("10.0.0.1:80", slots="six")).encode(),
+        json.dumps(worker_record("10.0.0.1:0")).encode(),
+        json.dumps(worker_record("10.0.0.1:70000")).encode(),
+        json.dumps(worker_record("10.0.0.1:80", slots=0)).encode(),
+        json.dumps(worker_record("10.0.0.1:80", slots=10**9)).encode(),
+        json.dumps(worker_record("10.0.0.1:80", warmupLeftMs=-1)).encode(),
+        json.dumps(worker_record("10.0.0.1:80", born=-1)).encode(),
+        json.dumps(worker_record("10.0.0.1:80", born=10**30)).encode(),
+        json.dumps(worker_record("10.0.0.1:80", sequence=10**30)).encode(),
+        json.dumps(worker_record("10.0.0.1:80", **rank_fields(8, 8))).encode(),
+        json.dumps(worker_record("10.0.0.1:80", **rank_fields(-1, 8))).encode(),
+        json.dumps(worker_record("10.0.0.1:80", **rank_fields(0, 0))).encode(),
     ],
 )
 def test_invalid_worker_announcement_is_rejected(data):
+    """Guards against an odd record that attracts or ends all requests.
+
+    With more slots than any process has, it seems the least loaded; with a start in
+    the far future, it replaces the worker at its address.
+    """
     assert isinstance(decode_worker("i-1", data), Err)
 
 
