Open a connection to the sidecar's upstream for each request

A caller got the answer of the caller before: an upstream that wrote an answer twice on a kept connection answered the next request with the copy, be it a refusal or another team's data.

Cause: the connection was checked for stray bytes before it was used again, but a copy may arrive after that. Class: bytes that belong to no request. Each request, health check and cancellation now has a connection of its own, as at the gateway; the upstream is on the same host. Non-idempotent requests had one before. The test of calls without reuse is replaced by one that makes every call on one client and fails before with the first answer for the second call.

--- a/src/mustardfront/programs/sidecar/_network.py
+++ b/src/mustardfront/programs/sidecar/_network.py
@@ -41,10 +41,7 @@
         await self._stream.aclose()
 
     def get_extra_info(self, info: str) -> Any:
-        """Return whether the socket is readable, for ``is_readable``; else None.
-
-        httpcore does not reuse an idle connection whose socket is readable.
-        """
+        """Return whether the socket is readable, for ``is_readable``; else None."""
         return self._stream.socket.is_readable() if info == "is_readable" else None
 
 
--- a/src/mustardfront/programs/sidecar/_program.py
+++ b/src/mustardfront/programs/sidecar/_program.py
@@ -59,9 +59,7 @@
     ) -> None:
         """Serve the upstream until the process stops and nothing is in flight."""
         sidecar = self._sidecar
-        # Health checks use their own connections, so that requests cannot delay them.
-        health_client = UpstreamClient(self._upstream_url)
-        health = HealthChecker(sidecar, health_client)
+        health = HealthChecker(sidecar, sidecar.client)
         sidecar.confirm_crash = health.confirm_crash
         _register_gauges(process, sidecar)
         async with trio.open_nursery() as nursery:
@@ -82,8 +80,6 @@
                 await sidecar.load_changed.wait()
             await _close_connections(process)
             nursery.cancel_scope.cancel()
-        await sidecar.client.aclose()
-        await health_client.aclose()
 
 
 async def _close_connections(process: Process) -> None:
--- a/src/mustardfront/programs/sidecar/_relay.py
+++ b/src/mustardfront/programs/sidecar/_relay.py
@@ -154,8 +154,7 @@
         attempt.instance = sidecar.instance
         await attempt.send(Started(attempt.req.stream))
 
-    reuse = attempt.req.idempotent
-    async with sidecar.client.exchange(call, mark_forwarded, reuse=reuse) as result:
+    async with sidecar.client.exchange(call, mark_forwarded) as result:
         if isinstance(result, Err):
             if not attempt.forwarded:
                 return attempt.refused_reply(result, RETRY_AFTER_MS)
--- a/src/mustardfront/programs/sidecar/_upstream.py
+++ b/src/mustardfront/programs/sidecar/_upstream.py
@@ -15,11 +15,6 @@
 from mustardfront.protocol import Headers
 from mustardfront.results import Err, Ok, Result
 
-# Shorter than the idle timeout of common servers. A request on a connection that the
-# upstream is closing gets an unknown outcome, and this makes that rare.
-IDLE_EXPIRY_S: Final = 2.0
-IDLE_CONNECTIONS_MAX: Final = 64
-
 _CONNECTION_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
@@ -85,36 +80,31 @@
 
 
 class UpstreamClient:
-    """Client of one upstream at ``http://IP:PORT`` that reuses idle connections."""
+    """Client of one upstream at ``http://IP:PORT``; each request has a connection.
+
+    On a connection that was used before, an answer that the upstream writes twice would
+    answer the next request, and it is unknown whether a request ran that crosses the
+    upstream's close.
+    """
 
     def __init__(self, url: str) -> None:
         parsed = httpcore.URL(url)
         self._origin = parsed.origin
         self._host = url.removeprefix("http://").rstrip("/").encode()
         self._network = NoTimeoutBackend()
-        self._idle: list[httpcore.AsyncHTTPConnection] = []
-
-    async def aclose(self) -> None:
-        """Close the idle connections."""
-        while self._idle:
-            await self._idle.pop().aclose()
 
     @asynccontextmanager
     async def exchange(
         self,
         call: UpstreamCall,
         before_write: Callable[[], Awaitable[None]] | None = None,
-        *,
-        reuse: bool = True,
     ) -> AsyncIterator[Result[UpstreamResponse]]:
         """Send a request and yield its response, or the error.
 
         ``before_write`` runs immediately before the first byte is written. If it did
-        not run, the upstream has received nothing of the request. Without ``reuse``
-        a new connection is opened: the upstream may close an idle one while the
-        request is written, and then it is unknown whether the request ran.
+        not run, the upstream has received nothing of the request.
         """
-        conn = await self._acquire_connection() if reuse else self._new_connection()
+        conn = httpcore.AsyncHTTPConnection(self._origin, network_backend=self._network)
         response: httpcore.Response | None = None
         result: Result[UpstreamResponse]
         try:
@@ -135,35 +125,14 @@
             with trio.CancelScope(shield=True, deadline=trio.current_time() + 1.0):
                 if response is not None:
                     await response.aclose()
-                await self._release_connection(conn)
-
-    async def _acquire_connection(self) -> httpcore.AsyncHTTPConnection:
-        while self._idle:
-            conn = self._idle.pop()
-            # An expired connection is one that was idle too long or was closed by the
-            # upstream.
-            if conn.is_available() and not conn.has_expired():
-                return conn
-            await conn.aclose()
-        return self._new_connection()
-
-    def _new_connection(self) -> httpcore.AsyncHTTPConnection:
-        return httpcore.AsyncHTTPConnection(
-            self._origin, keepalive_expiry=IDLE_EXPIRY_S, network_backend=self._network
-        )
-
-    async def _release_connection(self, conn: httpcore.AsyncHTTPConnection) -> None:
-        if conn.is_available() and len(self._idle) < IDLE_CONNECTIONS_MAX:
-            self._idle.append(conn)
-        else:
-            await conn.aclose()
+                await conn.aclose()
 
     def _build_request(
         self,
         call: UpstreamCall,
         before_write: Callable[[], Awaitable[None]] | None,
     ) -> httpcore.Request:
-        headers = [(b"Host", self._host)]
+        headers = [(b"Host", self._host), (b"Connection", b"close")]
         headers += [
             (name.encode("latin-1"), value.encode("latin-1"))
             for name, value in call.headers
--- a/tests/sidecar_fakes.py
+++ b/tests/sidecar_fakes.py
@@ -55,7 +55,7 @@
         self.running = self.running_max = 0
 
     @asynccontextmanager
-    async def exchange(self, call, before_write=None, *, reuse=True):
+    async def exchange(self, call, before_write=None):
         answer = self.script(call)
         if answer is CONNECTION_REFUSED:
             yield answer
--- a/tests/test_sidecar_upstream.py
+++ b/tests/test_sidecar_upstream.py
@@ -1,7 +1,9 @@
 """The HTTP client of the sidecar against a server that sends given bytes."""
 
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
+import h11
 import pytest
 import trio
 
@@ -37,7 +39,7 @@
         nursery.cancel_scope.cancel()
 
 
-async def fetch_body(client: UpstreamClient, **options):
+async def fetch_body(client: UpstreamClient, sent: bytes = CALL.body):
     """Return the body or the Err, and how often ``before_write`` ran.
 
     The body is None if its length is unknown.
@@ -47,7 +49,8 @@
     async def before_write() -> None:
         written.append(True)
 
-    async with client.exchange(CALL, before_write, **options) as result:
+    call = replace(CALL, body=sent)
+    async with client.exchange(call, before_write) as result:
         if isinstance(result, Err):
             return result, len(written)
         body = b""
@@ -95,11 +98,44 @@
             await trio.sleep(0.01)
 
 
-async def test_call_without_reuse_gets_a_new_connection():
-    # The server closes a connection without a response to its second request.
-    async with serve_responses(WITH_LENGTH, b"") as client:
-        assert (await fetch_body(client))[0] == b"body"
-        assert (await fetch_body(client, reuse=False))[0] == b"body"
-        result, written = await fetch_body(client)
-        assert isinstance(result, Err) and result.code == Code.STREAM_CUT
-        assert written == 1
+@asynccontextmanager
+async def serve_answers_twice():
+    """Answer with the request's body; write the last answer again before the next."""
+
+    async def serve(stream) -> None:
+        last_answer, parser = b"", h11.Connection(h11.SERVER)
+        body = b""
+        while True:
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                parser.receive_data(await stream.receive_some())
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+                await stream.send_all(last_answer + head + body)
+                last_answer, body = head + body, b""
+                parser.send(h11.Response(status_code=200, headers=[]))
+                parser.send(h11.EndOfMessage())
+                if parser.our_state is not h11.DONE:
+                    await stream.aclose()
+                    return
+                parser.start_next_cycle()
+            elif isinstance(event, h11.ConnectionClosed):
+                return
+
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        port = listeners[0].socket.getsockname()[1]
+        with trio.fail_after(20):
+            yield UpstreamClient(f"http://127.0.0.1:{port}")
+        nursery.cancel_scope.cancel()
+
+
+async def test_answer_that_is_written_twice_does_not_answer_the_next_request():
+    """Guards against a caller that gets the answer of the caller before."""
+    async with serve_answers_twice() as client:
+        for number in range(4):
+            body = b"%d" % number
+            assert (await fetch_body(client, body))[0] == body
