Put no answer of another content type into a resumed stream

A caller found the text of an error between the events of its stream: the stream had broken off, and the upstream at which it was resumed answered 200 with a JSON object. Other errors of that upstream could not get there: the tests with statuses 400, 404, 500 and 503, with and without a seal, passed before.

Cause: a success of a stream's route was taken for a stream. Gateway and entry now end a resumed stream visibly incomplete if the answer names another content type. Before, the gateway's caller got the object after two events, the entry's in place of a token.

--- a/src/mustardfront/programs/entry/_attempt.py
+++ b/src/mustardfront/programs/entry/_attempt.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TypeAlias
+from typing import Final, TypeAlias
 
 import msgspec
 import trio
@@ -27,6 +27,8 @@
 )
 from mustardfront.results import Err
 
+EVENT_STREAM: Final = "text/event-stream"
+
 
 @dataclass(slots=True)
 class Progress:
@@ -140,6 +142,9 @@
             return Failed(Code.CANCELLED, outcome, "cancelled by the sidecar")
         if isinstance(reply, Head):
             head = reply
+            if progress.payloads and not _may_be_event_stream(head):
+                text = "the stream is resumed with another content type"
+                return Failed(Code.UPSTREAM_BAD_ANSWER, Outcome.UNKNOWN, text)
         if isinstance(reply, Chunk):
             if first:
                 table.record_first_token(upstream, trio.current_time() - began_s)
@@ -186,6 +191,11 @@
         )
 
 
+def _may_be_event_stream(head: Head) -> bool:
+    content_type = dict(head.headers).get("content-type", EVENT_STREAM)
+    return head.status != 200 or content_type.lower().startswith(EVENT_STREAM)
+
+
 def _is_stream(req: CallerRequest, head: Head) -> bool:
     return req.streamed and head.status == 200
 
--- a/src/mustardfront/programs/gateway/_attempt.py
+++ b/src/mustardfront/programs/gateway/_attempt.py
@@ -29,6 +29,7 @@
 CONNECT_TIMEOUT_S: Final = 0.4
 RESPONSE_BODY_MAX_BYTES: Final = 16 * 1024 * 1024
 EVENT_MAX_BYTES: Final = 1024 * 1024
+EVENT_STREAM: Final = b"text/event-stream"
 _CRASHED_AT_END: Final = "the upstream crashed where its unframed response ended"
 _TRANSPORT_ERRORS: Final = (
     httpcore.NetworkError,
@@ -231,6 +232,8 @@
     is_end_certain = _always_true
     if not _is_framed(header_map):
         is_end_certain = partial(_still_runs, upstream)
+    if is_success and writer.started and not _may_be_event_stream(header_map):
+        return Failed(Code.UPSTREAM_BAD_ANSWER, "resumed with another content type")
     if is_success and req.route.kind is RequestKind.STREAM:
         return await _forward_stream(
             response, end_to_end_headers(headers), writer, progress, is_end_certain
@@ -240,6 +243,11 @@
     )
 
 
+def _may_be_event_stream(header_map: dict[bytes, bytes]) -> bool:
+    content_type = header_map.get(b"content-type", EVENT_STREAM)
+    return content_type.lower().startswith(EVENT_STREAM)
+
+
 def _is_framed(header_map: dict[bytes, bytes]) -> bool:
     """Return whether a truncated body can be told from a complete one."""
     chunked = b"chunked" in header_map.get(b"transfer-encoding", b"")
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -83,6 +83,27 @@
     assert (last["code"], last["outcome"]) == (Code.UPSTREAM_BAD_ANSWER, "unknown")
 
 
+async def test_resume_with_another_content_type_is_not_put_into_the_stream(
+    autojump_clock,
+):
+    """Guards against an error's text between the tokens of a stream."""
+
+    async def answer_json(conn, req):
+        if req.resume_from:
+            headers = (("content-type", "application/json"),)
+            await conn.send(Head(req.stream, 200, headers))
+            await conn.send(Chunk(req.stream, req.resume_from, b'{"error": 1}'))
+            await send_end(conn, req, req.resume_from + 1)
+            return
+        await crash_after(4)(conn, req)
+
+    scripts = {"w1": answer_json, "w2": answer_json}
+    async with front_with(scripts, TWO_WRITERS) as client:
+        tokens, last = await client.stream()
+    assert tokens == ["0", "1", "2", "3"]
+    assert (last["code"], last["outcome"]) == (Code.UPSTREAM_BAD_ANSWER, "unknown")
+
+
 @pytest.mark.parametrize(
     ("sent", "count"), [([0, 1, 3], 4), ([0, 1], 3), ([1, 2], 3), ([], 1)]
 )
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -6,10 +6,12 @@
 import trio
 
 from gateway_fakes import (
+    SEAL,
     FakeUpstream,
     encode_chunk,
     encode_events,
     gateway,
+    respond,
     send_request,
     stream_events,
     stream_head,
@@ -46,6 +48,34 @@
         assert last_event_ids == {None, str(cut_after) if cut_after else None}
 
 
+JSON_HEAD = SEAL + b"content-type: application/json\r\n"
+ERROR_TEXT = b'{"error": "out of memory"}\n\n'
+
+
+@pytest.mark.parametrize(
+    "error",
+    [
+        respond(500, ERROR_TEXT),
+        respond(500, ERROR_TEXT, extra=b""),
+        respond(400, ERROR_TEXT),
+        respond(404, ERROR_TEXT, extra=b"content-type: text/event-stream\r\n"),
+        respond(503, ERROR_TEXT, extra=b"x-not-run: 1\r\n"),
+        respond(200, ERROR_TEXT, extra=JSON_HEAD),
+        respond(200, ERROR_TEXT, extra=b""),
+    ],
+)
+async def test_error_of_the_next_upstream_is_not_put_into_a_stream(error):
+    """Guards against an error's text in a stream, or a stream that ends as complete."""
+    scripts = [stream_events(5, cut_after=2), error]
+    one, two = FakeUpstream(scripts), FakeUpstream(scripts)
+    async with gateway({"u1": one, "u2": two}) as gw:
+        response = await send_request(gw, "/draft/x")
+        assert len(one.requests) == len(two.requests) == 1
+        assert response.status == 200
+        assert response.body == encode_events(1, 3)
+        assert not response.complete
+
+
 async def test_stream_starts_after_last_event_id_of_caller():
     svc = FakeUpstream([stream_events(5)])
     async with gateway({"u1": svc}) as gw:
