Let the soak's key-value service lose its last writes

Sidecars and the administration API are not ended in such a run, since a claim or a ticket that no other process knows is lost then, as the postmortem says.

--- a/src/mustardfront_standins/kv/__init__.py
+++ b/src/mustardfront_standins/kv/__init__.py
@@ -10,6 +10,9 @@
 - ``value_limit_bytes``: a larger value gets 400.
 - ``reads_per_s``, ``writes_per_s`` (0: no limit): a call above the rate gets 429.
 
+``POST /control/restore`` with ``age_s`` lets the store go back to its data of so long
+ago; revisions since then are given out again.
+
 ``GET /control/calls`` returns the number of calls by kind since the start; an open
 watch counts as one call. ``GET /control/faults`` returns the settings.
 """
--- a/src/mustardfront_standins/kv/_server.py
+++ b/src/mustardfront_standins/kv/_server.py
@@ -8,6 +8,7 @@
 import msgspec
 import trio
 
+from mustardfront_standins.kv._copies import StoreCopies
 from mustardfront_standins.kv._faults import Faults
 from mustardfront_standins.kv._gateway import (
     HTTP_STATUS,
@@ -47,15 +48,17 @@
     """Serve the gateway and ``/control`` at (IP, port); report the bound address."""
     store = store or Store()
     faults = Faults()
+    copies = StoreCopies(store)
 
     async def accept(stream: trio.SocketStream) -> None:
         async with stream:
-            await _Connection(stream, Gateway(store), faults).run()
+            await _Connection(stream, Gateway(store), faults, copies).run()
 
     listeners = await trio.open_tcp_listeners(address[1], host=address[0])
     bound = listeners[0].socket.getsockname()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(store.run_leases)
+        nursery.start_soon(copies.run)
         task_status.started((bound[0], bound[1]))
         await trio.serve_listeners(accept, listeners)
 
@@ -64,9 +67,14 @@
     """Client connection that handles one request at a time."""
 
     def __init__(
-        self, stream: trio.SocketStream, gateway: Gateway, faults: Faults
+        self,
+        stream: trio.SocketStream,
+        gateway: Gateway,
+        faults: Faults,
+        copies: StoreCopies,
     ) -> None:
         self._stream = stream
+        self._copies = copies
         self._gateway = gateway
         self._faults = faults
         self._http = h11.Connection(h11.SERVER)
@@ -138,6 +146,9 @@
                 raise GatewayError(INVALID_ARGUMENT, str(exc)) from exc
             settings: Json = msgspec.to_builtins(self._faults.settings)
             return settings
+        if path == "/control/restore":
+            age_s = self._copies.restore(float(_parse_json(body)["age_s"]))
+            return {"age_s": age_s}
         if path == "/control/calls":
             return dict(self._faults.calls)
         raise GatewayError(INVALID_ARGUMENT, f"unknown control path {path}")
--- a/src/mustardfront_standins/kv/_store.py
+++ b/src/mustardfront_standins/kv/_store.py
@@ -57,14 +57,19 @@
 
     def copy(self) -> Store:
         """Return a copy of the data for ``restore``."""
-        return copy.deepcopy(self)
+        data = Store()
+        data._take_data(self)
+        return data
 
     def restore(self, data: Store) -> None:
         """Go back to a copy; its revisions are given out again, lease IDs are not."""
+        self._take_data(data)
+
+    def _take_data(self, data: Store) -> None:
         self.revision = data.revision
         self.leases = copy.deepcopy(data.leases)
         self._entries = dict(data._entries)
-        self._history = copy.copy(data._history)
+        self._history = data._history.copy()
 
     def get(self, key: bytes) -> Entry | None:
         """Return the entry of a key, or None."""
--- a/src/mustardfront_standins/system.py
+++ b/src/mustardfront_standins/system.py
@@ -118,6 +118,10 @@
 
         return await poll_until(all_in_force, timeout_s)
 
+    async def restore_kv(self, age_s: float) -> None:
+        """Let the key-value stand-in go back to its data of ``age_s`` ago."""
+        await _post(f"{self.kv_url}/control/restore", {"age_s": age_s})
+
     async def set_kv_faults(self, **faults: Any) -> None:
         """Change fault settings of the key-value stand-in."""
         await _post(f"{self.kv_url}/control/faults", faults)
--- a/src/mustardfront_standins/torture/_faults.py
+++ b/src/mustardfront_standins/torture/_faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import random
 import signal
 from collections import Counter
@@ -17,12 +18,19 @@
 from mustardfront_standins.torture._proxy import Link
 
 _MAX_SUBMIT_ATTEMPTS: Final = 6
+_ENDS_OF_WITNESSES: Final = (
+    "sidecar killed",
+    "sidecar shut down",
+    "admin killed",
+)
 
 
 class FaultInjector:
     """Injects random faults and counts them by kind.
 
-    ``links`` maps upstream names to the proxies between entries and sidecars.
+    ``links`` maps upstream names to the proxies between entries and sidecars. With
+    ``restores`` the store also goes back to older copies of its data, and no process
+    ends that alone may know what was lost: claims of its sidecar, or a ticket.
     """
 
     def __init__(
@@ -32,6 +40,8 @@
         rng: random.Random,
         upstream_args: Callable[[UpstreamPlan], tuple[str, ...]],
         links: Mapping[str, Link],
+        *,
+        restores: bool = False,
     ) -> None:
         self.counts: Counter[str] = Counter()
         self._system = system
@@ -60,6 +70,10 @@
             "link cut one way": self._block_link_one_way,
             "link silenced": self._block_link_both_ways,
         }
+        if restores:
+            for kind in _ENDS_OF_WITNESSES:
+                del self._fault_functions[kind]
+            self._fault_functions["store restored"] = self._restore_store
 
     async def run(self, stopped: Callable[[], bool]) -> None:
         """Inject faults, some of them concurrently, until ``stopped`` returns true."""
@@ -163,6 +177,14 @@
         await trio.sleep(self._rng.uniform(0.5, 5.0))
         await self._system.set_kv_faults(outage="")
 
+    async def _restore_store(self) -> None:
+        await self._system.set_kv_faults(outage="cut")
+        await trio.sleep(self._rng.uniform(0.0, 3.0))
+        await self._system.restore_kv(self._rng.uniform(0.5, 8.0))
+        await self._system.set_kv_faults(outage="")
+        # Tickets are refused until a process has written the lost ones again.
+        await trio.sleep(self._rng.uniform(8.0, 10.0))
+
     async def _store_slow(self) -> None:
         await self._system.set_kv_faults(delay_ms=self._rng.uniform(50, 600))
         await trio.sleep(self._rng.uniform(0.5, 3.0))
@@ -209,7 +231,8 @@
             ticket["set"]["hosts"][plan.host]["state"] = state
             if await self._system.try_submit(ticket) == 0:
                 self._last_ticket = max(self._last_ticket, number)
-                self._history.accepted.append(number)
+                text = json.dumps(ticket, sort_keys=True)
+                self._history.accepted.setdefault(number, set()).add(text)
                 return
             await trio.sleep(1.0)
 
