Compare only linearizable revisions to find a restore

A member of the key-value service that lags behind may answer a call on a lease with an older revision; the owner of partitions took that for a restore and acquired its partitions anew, and refused their requests meanwhile. Found by reading. The client's test against the stand-in that goes back is new.

--- a/src/mustardfront/coordination/kv/_client.py
+++ b/src/mustardfront/coordination/kv/_client.py
@@ -34,6 +34,8 @@
 }
 # A repeated or lost lease renewal is harmless, so it does not count as a write here.
 _WRITE_KINDS: Final = frozenset({"txn", "lease_grant", "lease_revoke"})
+# Responses to calls on leases may have the revision of a member that lags behind.
+_LINEARIZABLE_KINDS: Final = frozenset({"range", "txn"})
 _HEADERS: Final = [("Content-Type", "application/json")]
 # These are raised before any part of the request was sent.
 _NOT_SENT: Final = (
@@ -256,7 +258,8 @@
             body = decode_json(response.content, dict[str, Any])
         except msgspec.DecodeError as exc:
             return Err(ambiguous_code, f"{kind}: malformed response: {exc}")
-        self._note_revision(body, *before)
+        if kind in _LINEARIZABLE_KINDS:
+            self._note_revision(body, *before)
         return Ok(body)
 
     def _note_revision(
@@ -264,10 +267,9 @@
     ) -> None:
         """Compare a response's revision with that before its call.
 
-        Responses are linearizable, so only a restore makes it lower.
+        The response is linearizable, so only a restore makes it lower.
         """
-        header = body.get("header") or body.get("result", {}).get("header", {})
-        revision = int(header.get("revision", 0))
+        revision = int(body.get("header", {}).get("revision", 0))
         if restores != self.restores or not revision:
             return
         if revision >= revision_before:
--- a/tests/test_kv.py
+++ b/tests/test_kv.py
@@ -120,3 +120,21 @@
         response = await pool.request("POST", url + path, content=body)
         assert response.status == 400
         assert await kv.get("/k") == Ok(None)
+
+
+async def test_client_notices_that_the_service_went_back():
+    """Guards against records and fences of a history that the service has lost."""
+    async with running_kv() as (kv, url):
+        await kv.txn({}, {"/a": b"1"})
+        # The stand-in copies its data four times a second.
+        await trio.sleep(0.6)
+        await kv.txn({}, {"/a": b"2"})
+        assert kv.restores == 0
+        async with httpcore.AsyncConnectionPool() as pool:
+            body = b'{"age_s": 0.2}'
+            await pool.request("POST", url + "/control/restore", content=body)
+        assert await kv.get("/a") == Ok(KvValue(b"1", 2, 0))
+        assert kv.restores == 1
+        await kv.txn({}, {"/a": b"3"})
+        await kv.get("/a")
+        assert kv.restores == 1
