--- a/src/mustardfront/coordination/idempotency/_active.py
+++ b/src/mustardfront/coordination/idempotency/_active.py
@@ -8,7 +8,7 @@
 
 from mustardfront import events
 from mustardfront.codes import Code, Outcome
-from mustardfront.constants import RECORDED_BODY_MAX_BYTES
+from mustardfront.constants import RECORD_MAX_BYTES, RECORDED_BODY_MAX_BYTES
 from mustardfront.coordination.idempotency._execution import (
     Execute,
     Execution,
@@ -126,3 +126,21 @@
 def _key_conflict() -> Execution:
     text = "the Idempotency-Key was already used for a different request"
     return not_run(Err(Code.KEY_CONFLICT, text))
+
+
+def check_new_key(
+    partition: Partition, key: RequestKey, oldest_ms: int, kv_error: Err | None
+) -> Execution | None:
+    """Return the refusal of a request whose key is not recorded, or None.
+
+    Keys from before ``oldest_ms`` have expired; with ``kv_error`` no claim is durable.
+    """
+    if key.time_ms < oldest_ms or key.time_ms <= partition.head.floor_ms:
+        text = "the Idempotency-Key is older than the retention period"
+        return unknown(Code.KEY_EXPIRED, text)
+    if kv_error is not None:
+        return not_run(kv_error)
+    if partition.size > RECORD_MAX_BYTES:
+        text = "the partition's record of recent Idempotency-Keys is full"
+        return not_run(Err(Code.SHED, text))
+    return None
--- a/src/mustardfront/coordination/idempotency/_owner.py
+++ b/src/mustardfront/coordination/idempotency/_owner.py
@@ -17,11 +17,11 @@
     KV_RETRY_DELAY_S,
     OWNER_CHECK_INTERVAL_S,
     OWNER_CHECK_MIN_INTERVAL_S,
-    RECORD_MAX_BYTES,
     RESULT_FLUSH_S,
 )
 from mustardfront.coordination.idempotency._active import (
     ActiveRequest,
+    check_new_key,
     execute_guarded,
     join_attempt,
     recorded_result,
@@ -31,10 +31,8 @@
     Execute,
     Execution,
     not_run,
-    unknown,
 )
 from mustardfront.coordination.idempotency._key import (
-    RequestKey,
     parse_key,
     request_digest,
     wall_clock_ms,
@@ -166,7 +164,8 @@
         recorded = partition.value.index.get(key.value.digest)
         if recorded is not None:
             return recorded_result(recorded, digest)
-        refusal = self._check_new_key(partition.value, key.value)
+        oldest_ms = self._now_ms() - self._retention_s() * 1_000
+        refusal = check_new_key(partition.value, key.value, oldest_ms, self._kv_error)
         if refusal is not None:
             return refusal
         return await self._claim_and_run(
@@ -194,19 +193,6 @@
                 await self._state_changed.wait()
         return Err(Code.NOT_READY, f"partition {number} is not owned here yet")
 
-    def _check_new_key(self, partition: Partition, key: RequestKey) -> Execution | None:
-        """Return the refusal of a request whose key is not recorded, or None."""
-        oldest_ms = self._now_ms() - self._retention_s() * 1_000
-        if key.time_ms < oldest_ms or key.time_ms <= partition.head.floor_ms:
-            text = "the Idempotency-Key is older than the retention period"
-            return unknown(Code.KEY_EXPIRED, text)
-        if self._kv_error is not None:
-            return not_run(self._kv_error)
-        if partition.size > RECORD_MAX_BYTES:
-            text = "the partition's record of recent Idempotency-Keys is full"
-            return not_run(Err(Code.SHED, text))
-        return None
-
     async def _claim_and_run(
         self, active: ActiveRequest, team: str, execute: Execute
     ) -> Execution:
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -9,6 +9,7 @@
 import trio
 import trio.testing
 
+from mustardfront.codes import Code
 from mustardfront.coordination.limits import RetryBudget, TeamLimits
 from mustardfront.coordination.quarantine import CrashEvidence, Quarantine
 from mustardfront.coordination.routing import UpstreamTable
@@ -23,6 +24,7 @@
     Head,
     Identity,
     PeerConnection,
+    Refused,
     Request,
     Started,
     open_peer,
@@ -76,7 +78,6 @@
         self._calls = calls
 
     async def calls(self, upstream: str, address: str) -> Ok[Calls] | Err:
-        from mustardfront.codes import Code
 
         if upstream not in self._calls:
             return Err(Code.CONNECT_FAILED, "connection refused")
@@ -242,3 +243,26 @@
                 calls.dispatch(message.value)
             calls.close()
             await trio.sleep_forever()
+
+
+TWO_WRITERS = {"w1": "writer", "w2": "writer"}
+
+
+def refuse(code: Code, not_run: bool = True):
+    async def script(conn, req):
+        await conn.send(Refused(req.stream, int(code), not_run))
+
+    return script
+
+
+def crash_after(count: int, code: Code = Code.UPSTREAM_CRASHED):
+    async def script(conn, req):
+        await send_tokens(conn, req, range(req.resume_from, req.resume_from + count))
+        await conn.send(End(req.stream, int(code), "unknown", count))
+
+    return script
+
+
+async def serve_ten(conn, req):
+    await send_tokens(conn, req, range(req.resume_from, 10))
+    await send_end(conn, req, 10)
