--- a/tests/test_idempotency_record.py
+++ b/tests/test_idempotency_record.py
@@ -51,7 +51,7 @@
 async def test_full_record_refuses_new_requests(autojump_clock, monkeypatch):
     # Guards against a record that grows without limit, and against a second run of a
     # request whose answer was too large to be recorded.
-    constant = "mustardfront.coordination.idempotency._owner.RECORD_MAX_BYTES"
+    constant = "mustardfront.coordination.idempotency._active.RECORD_MAX_BYTES"
     monkeypatch.setattr(constant, 4 * RECORD_HEAD_BYTES)
     async with open_fleet() as fleet:
         owner, _, _ = await fleet.start("a")
