Show that an answer without end makes agents exceed their memory

Agents read the reports of their workers without a bound on length, and their timeouts hold for one read each.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -30,9 +30,9 @@
 
 SETTINGS = """\
 nodeName = "{name}"
-role = "entry"
-machineClass = "edge"
-serves = ["edge"]
+role = "{role}"
+machineClass = "{machine_class}"
+serves = ["{machine_class}"]
 ip = "{ip}"
 zone = "bayern-a"
 region = "bayern"
@@ -41,9 +41,7 @@
 discovery = "platform"
 entry = "virtual_ip"
 heartbeatIntervalMs = 1200
-[listen]
-frontend = "{ip}:{front}"
-ready = "{ip}:{ready}"
+{more}
 [bounds]
 contactMs = 3000
 drainMs = 2000
@@ -68,38 +66,51 @@
 """
 
 
+MACHINE_CLASSES = {"entry": "edge", "agent": "side"}
+
+
+def machine_ip(role: str, number: int) -> str:
+    """Return a machine's address, in another block for each case that runs."""
+    block = os.getpid()
+    last = number + (100 if role == "agent" else 0)
+    return f"127.{10 + block % 200}.{block // 200 % 250}.{last}"
+
+
 def free_port(ip: str) -> int:
     with socket.socket() as sock:
         sock.bind((ip, 0))
         return sock.getsockname()[1]
 
 
-class Entry:
-    """One entry process; it may be killed, stopped, continued and started again."""
+class Machine:
+    """The process of a role on a loopback address of its own.
 
-    def __init__(self, dep: Deployment, number: int, store: str) -> None:
-        self.name = f"edge-bayern-a-{number}"
-        # Another block of loopback addresses for each case that runs.
-        block = os.getpid()
-        self.ip = f"127.{10 + block % 200}.{block // 200 % 250}.{number}"
-        self.front = (self.ip, free_port(self.ip))
-        self.ready = (self.ip, free_port(self.ip))
+    It may be killed, stopped, continued and started again.
+    """
+
+    def __init__(
+        self, dep: Deployment, role: str, number: int, store: str, more: str
+    ) -> None:
+        self.role = role
+        self.name = f"{role}-bayern-a-{number}"
+        self.ip = machine_ip(role, number)
         self._dep = dep
         self._settings = dep.folder / f"{self.name}.toml"
         self._settings.write_text(
             SETTINGS.format(
                 name=self.name,
+                role=role,
+                machine_class=MACHINE_CLASSES[role],
                 ip=self.ip,
-                front=self.front[1],
-                ready=self.ready[1],
                 store=store,
+                more=more,
             )
         )
         self.process: subprocess.Popen | None = None
 
     def start(self) -> None:
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
-        command = shlex.split(deploy["roles"]["entry"]["run"])
+        command = shlex.split(deploy["roles"][self.role]["run"])
         env = {
             name: os.environ[name]
             for name in ("PATH", "HOME", "LANG")
@@ -116,6 +127,31 @@
         self.process.send_signal(number)
 
 
+class Entry(Machine):
+    """An entry with its addresses for callers and for readiness checks."""
+
+    def __init__(self, dep: Deployment, number: int, store: str) -> None:
+        ip = machine_ip("entry", number)
+        self.front = (ip, free_port(ip))
+        self.ready = (ip, free_port(ip))
+        more = f"""[listen]
+frontend = "{ip}:{self.front[1]}"
+ready = "{ip}:{self.ready[1]}"
+"""
+        super().__init__(dep, "entry", number, store, more)
+
+
+class Agent(Machine):
+    """An agent beside the worker at ``app``."""
+
+    def __init__(self, dep: Deployment, number: int, app: str, service: str) -> None:
+        more = f"""app = "{app}"
+service = "{service}"
+[listen]
+"""
+        super().__init__(dep, "agent", number, dep.store_address, more)
+
+
 class Deployment:
     """Starts the processes of a case and ends all of them at its exit."""
 
@@ -161,6 +197,12 @@
             [sys.executable, str(STANDINS / "worker.py"), json.dumps(cfg)]
         )
 
+    def start_rank(
+        self, ip: str, port: int, rank: int, size: int
+    ) -> subprocess.Popen:
+        words = [ip, str(port), str(rank), str(size)]
+        return self.popen([sys.executable, str(STANDINS / "rank.py"), *words])
+
     def start_entries(self, count: int, stores: list[str] | None = None) -> None:
         """Start entries; ``stores`` are the store's addresses as each one knows it."""
         stores = stores or [self.store_address] * count
