--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -88,9 +88,7 @@
     It may be killed, stopped, continued and started again.
     """
 
-    def __init__(
-        self, dep: Deployment, role: str, number: int, store: str, more: str
-    ) -> None:
+    def __init__(self, dep: Deployment, role: str, number: int, more: str) -> None:
         self.role = role
         self.name = f"{role}-bayern-a-{number}"
         self.ip = machine_ip(role, number)
@@ -102,7 +100,7 @@
                 role=role,
                 machine_class=MACHINE_CLASSES[role],
                 ip=self.ip,
-                store=store,
+                store=dep.store_address,
                 more=more,
             )
         )
@@ -130,7 +128,7 @@
 class Entry(Machine):
     """An entry with its addresses for callers and for readiness checks."""
 
-    def __init__(self, dep: Deployment, number: int, store: str) -> None:
+    def __init__(self, dep: Deployment, number: int) -> None:
         ip = machine_ip("entry", number)
         self.front = (ip, free_port(ip))
         self.ready = (ip, free_port(ip))
@@ -138,7 +136,7 @@
 frontend = "{ip}:{self.front[1]}"
 ready = "{ip}:{self.ready[1]}"
 """
-        super().__init__(dep, "entry", number, store, more)
+        super().__init__(dep, "entry", number, more)
 
 
 class Agent(Machine):
@@ -149,7 +147,7 @@
 service = "{service}"
 [listen]
 """
-        super().__init__(dep, "agent", number, dep.store_address, more)
+        super().__init__(dep, "agent", number, more)
 
 
 class Deployment:
@@ -197,27 +195,16 @@
             [sys.executable, str(STANDINS / "worker.py"), json.dumps(cfg)]
         )
 
-    def start_rank(
-        self, ip: str, port: int, rank: int, size: int
-    ) -> subprocess.Popen:
+    def start_rank(self, ip: str, port: int, rank: int, size: int) -> subprocess.Popen:
         words = [ip, str(port), str(rank), str(size)]
         return self.popen([sys.executable, str(STANDINS / "rank.py"), *words])
 
-    def start_entries(self, count: int, stores: list[str] | None = None) -> None:
-        """Start entries; ``stores`` are the store's addresses as each one knows it."""
-        stores = stores or [self.store_address] * count
-        self.entries = [
-            Entry(self, number, store) for number, store in enumerate(stores, 1)
-        ]
+    def start_entries(self, count: int) -> None:
+        self.entries = [Entry(self, number) for number in range(1, count + 1)]
         for entry in self.entries:
             entry.start()
 
-    async def put_config(
-        self,
-        routes: list[dict],
-        services: list[dict],
-        keys: tuple[str, ...] = (KEY,),
-    ) -> int:
+    async def put_config(self, routes: list[dict], services: list[dict]) -> int:
         """Write the next configuration; return its version once acknowledged."""
         self._version += 1
         config = {
@@ -230,7 +217,7 @@
                 "headerTimeoutMs": 3000,
                 "idleTimeoutMs": 15000,
             },
-            "tenants": [{"name": TENANT, "apiKeys": list(keys), "priority": 1}],
+            "tenants": [{"name": TENANT, "apiKeys": [KEY], "priority": 1}],
         }
         await self._put("op/config", config)
         return self._version
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -96,11 +96,15 @@
         attempt = headers.get("x-mustardfront-attempt-id", "")
         echo = f"X-Mustardfront-Attempt-Id: {attempt}\r\n"
         if first.startswith("GET /healthz "):
-            self.answer(writer, 200, f"X-Mustardfront-Instance-Id: {self.cfg['id']}\r\n")
+            self.answer(
+                writer, 200, f"X-Mustardfront-Instance-Id: {self.cfg['id']}\r\n"
+            )
             return True
         expected = headers.get("x-mustardfront-expect-instance", self.cfg["id"])
         if expected != self.cfg["id"]:
-            self.answer(writer, 421, f"X-Mustardfront-Instance-Id: {self.cfg['id']}\r\n")
+            self.answer(
+                writer, 421, f"X-Mustardfront-Instance-Id: {self.cfg['id']}\r\n"
+            )
             return True
         if self.inside >= self.cfg.get("slots", 6) + self.cfg.get("queue", 6):
             self.answer(writer, 503, "X-Mustardfront-Not-Executed: 1\r\n" + echo)
@@ -124,7 +128,9 @@
         cfg = self.cfg
         async with self.slots:
             self.note(event="run", attempt=attempt, request=first)
-            tokens = int(headers.get("x-mustardfront-token-counts", "0,0").split(",")[0])
+            tokens = int(
+                headers.get("x-mustardfront-token-counts", "0,0").split(",")[0]
+            )
             if tokens:
                 async with self.reading:
                     await asyncio.sleep(tokens / TOKENS_PER_MS / 1000)
