--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "standins"))
+sys.path.insert(0, str(FOLDER.parent))
 
 from deployment import Agent, Deployment, free_port, route, service  # noqa: E402
 
@@ -60,10 +60,11 @@
 
     async def run(self) -> int:
         with Deployment() as dep:
+            log = dep.folder / "ran.log"
             ranks, agents = [], []
             for number in range(RANKS):
                 port = free_port("127.0.0.1")
-                ranks.append(dep.start_rank("127.0.0.1", port, number, RANKS))
+                ranks.append(dep.start_rank(log, "127.0.0.1", port, number, RANKS))
                 app = f"127.0.0.1:{port}"
                 agents.append(Agent(dep, number + 1, app, "net-writer"))
             await asyncio.sleep(0.5)
@@ -83,13 +84,22 @@
             for task in watching:
                 task.cancel()
             await asyncio.wait(watching)
-            return self.judge()
+            return self.judge(log)
 
-    def judge(self) -> int:
+    def judge(self, log: Path) -> int:
         for name, mb in sorted(self.peak_mb.items()):
             self.record.append(
                 f"{name}: {self.ends.get(name, 0)} ends, at most {mb:.0f} MB"
             )
+        answered = [json.loads(line) for line in log.read_text().splitlines()]
+        for rank in range(RANKS):
+            mine = [one["event"] for one in answered if one["rank"] == rank]
+            spoiled = mine.count("answers a report without end")
+            self.record.append(
+                f"rank {rank}: {len(mine)} reports were asked for, {spoiled} answered"
+                " without end"
+            )
+        self.record += ["run: " + json.dumps(one) for one in answered]
         machines = sum(count >= 3 for count in self.ends.values())
         broken = machines >= max(2, RANKS / 10)
         self.record.append("rule broken" if broken else "rule held")
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "standins"))
+sys.path.insert(0, str(FOLDER.parent))
 
 from client import send  # noqa: E402
 from deployment import HOST, KEY, Deployment, free_port, route, service  # noqa: E402
--- a/review/standins/deployment.py
+++ b/review/deployment.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import json
 import os
 import shlex
@@ -21,7 +22,7 @@
 from pathlib import Path
 
 STANDINS = Path(__file__).resolve().parent
-ROOT = STANDINS.parent.parent
+ROOT = STANDINS.parent
 STORE_IP = "127.0.0.1"
 HOST = "review.example"
 KEY = "review-key"
@@ -69,11 +70,41 @@
 MACHINE_CLASSES = {"entry": "edge", "agent": "side"}
 
 
+# Ports that all machines have: those of the metrics and between agents.
+FIXED_PORTS = (9464, 7340)
+MACHINES_MAX = 8
+
+
+@functools.cache
+def machine_block() -> str:
+    """Return a block of loopback addresses on which the fixed ports are free."""
+    for number in range(os.getpid(), os.getpid() + 100):
+        block = f"127.{10 + number % 200}.{number // 200 % 250}"
+        last_parts = (base + n for base in (0, 100) for n in range(1, MACHINES_MAX + 1))
+        if all(
+            is_free(f"{block}.{last}", port)
+            for last in last_parts
+            for port in FIXED_PORTS
+        ):
+            return block
+    raise RuntimeError("no block of loopback addresses is free")
+
+
+def is_free(ip: str, port: int) -> bool:
+    """Return whether a port can be bound."""
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((ip, port))
+        except OSError:
+            return False
+        return True
+
+
 def machine_ip(role: str, number: int) -> str:
     """Return a machine's address, in another block for each case that runs."""
-    block = os.getpid()
     last = number + (100 if role == "agent" else 0)
-    return f"127.{10 + block % 200}.{block // 200 % 250}.{last}"
+    return f"{machine_block()}.{last}"
 
 
 def free_port(ip: str) -> int:
@@ -195,8 +226,10 @@
             [sys.executable, str(STANDINS / "worker.py"), json.dumps(cfg)]
         )
 
-    def start_rank(self, ip: str, port: int, rank: int, size: int) -> subprocess.Popen:
-        words = [ip, str(port), str(rank), str(size)]
+    def start_rank(
+        self, log: Path, ip: str, port: int, rank: int, size: int
+    ) -> subprocess.Popen:
+        words = [ip, str(port), str(rank), str(size), str(log)]
         return self.popen([sys.executable, str(STANDINS / "rank.py"), *words])
 
     def start_entries(self, count: int) -> None:
