Bound all other responses and requests that this project reads

Looked for in every reader of outside bytes:

- store client, product's key-value client, host list, sidecar's rank: call_http.
- key-value watch: a line has a limit.
Command line: a response has one.
- product's entry: bodies of requests and answers count against 32 MiB for all callers, as at the gateway.
- gateway and entry: a caller that does not finish its request's body within its deadline (30 s at most) is refused as not run, and no longer holds memory.

--- a/src/mustardfront/constants.py
+++ b/src/mustardfront/constants.py
@@ -6,6 +6,8 @@
 
 # Larger configuration snapshots are split, so no message needs a larger frame.
 FRAME_MAX_BYTES: Final = 4 * 1024 * 1024
+# Anyone may connect, and has proved nothing before the handshake is over.
+HANDSHAKE_FRAME_MAX_BYTES: Final = 16 * 1024
 PROTOCOL_VERSION: Final = 3
 PROTOCOL_VERSION_MIN: Final = 1
 # Peers with this protocol version or a newer one accept several chunks per message.
@@ -33,6 +35,9 @@
 HOSTS_APPLY_INTERVAL_S: Final = 1.0
 
 BODY_MAX_BYTES: Final = 2 * 1024 * 1024
+# A longer response that is not streamed would fill the memory of the process that
+# holds it for its caller.
+RESPONSE_BODY_MAX_BYTES: Final = 16 * 1024 * 1024
 REQUEST_ID_MAX_CHARS: Final = 128
 DEADLINE_DEFAULT_MS: Final = 30_000
 DEADLINE_MAX_MS: Final = 600_000
--- a/src/mustardfront/coordination/expertmap/_task.py
+++ b/src/mustardfront/coordination/expertmap/_task.py
@@ -38,6 +38,7 @@
 from mustardfront.coordination.expertmap._rank import RankCall
 from mustardfront.coordination.expertmap._types import RankState, parse_state
 from mustardfront.decoding import decode_json
+from mustardfront.http_calls import CALL_ERRORS, CallLimits, call_http
 from mustardfront.protocol import Identity, connect_peer
 from mustardfront.results import Err, Ok, Result
 from mustardfront.state import Config, Group, first_map
@@ -53,32 +54,34 @@
 # How often a sidecar checks the config for whether it has become a candidate.
 CONFIG_POLL_S: Final = 1.0
 RANK_CALL_TIMEOUT_S: Final = 2.0
+# 128 layers of 128 experts with counts of 20 digits take 350 KB.
+RANK_REPLY_MAX_BYTES: Final = 1024 * 1024
 
 
 def open_rank_client(url: str) -> tuple[httpcore.AsyncConnectionPool, RankCall]:
     """Return a connection pool for the rank at ``url`` and a function to call it."""
     pool = httpcore.AsyncConnectionPool(max_connections=4)
-    timeout = dict.fromkeys(("read", "write", "pool"), RANK_CALL_TIMEOUT_S)
-    timeout["connect"] = CONNECT_TIMEOUT_S
+    limits = CallLimits(
+        RANK_CALL_TIMEOUT_S,
+        CONNECT_TIMEOUT_S,
+        CONNECT_TIMEOUT_S + 2 * RANK_CALL_TIMEOUT_S,
+        RANK_REPLY_MAX_BYTES,
+    )
 
     async def call(
         method: str, path: str, body: dict[str, Any] | None
     ) -> Result[tuple[int, dict[str, Any]]]:
         try:
-            response = await pool.request(
+            response = await call_http(
+                pool,
                 method,
                 url + path,
+                limits,
                 headers=[("Content-Type", "application/json")],
                 content=msgspec.json.encode(body) if body is not None else None,
-                extensions={"timeout": timeout},
             )
-            data = decode_json(response.content, dict[str, Any])
-        except (
-            httpcore.NetworkError,
-            httpcore.TimeoutException,
-            httpcore.ProtocolError,
-            msgspec.MsgspecError,
-        ) as exc:
+            data = decode_json(response.body, dict[str, Any])
+        except CALL_ERRORS as exc:
             text = f"{method} {path}: {type(exc).__name__} {exc}"
             return Err(Code.RANK_UNREACHABLE, text)
         return Ok((response.status, data))
--- a/src/mustardfront/coordination/hosts/_list.py
+++ b/src/mustardfront/coordination/hosts/_list.py
@@ -21,6 +21,7 @@
 POLL_BYTES_PER_S: Final = 2_000
 RETRY_MAX_S: Final = 10.0
 REQUEST_TIMEOUT_S: Final = 3.0
+RESPONSE_MAX_BYTES: Final = 4 * 1024 * 1024
 _ROLES: Final = frozenset({"entry", "sidecar", "admin"})
 _STATES: Final = frozenset({"live", "leaving"})
 
@@ -150,32 +151,25 @@
 
 
 def _http_fetch(pool: Any, url: str) -> Fetch:
-    import httpcore
+    from mustardfront.http_calls import CALL_ERRORS, CallLimits, call_http
 
-    timeouts = dict.fromkeys(("connect", "read", "write", "pool"), REQUEST_TIMEOUT_S)
+    limits = CallLimits(
+        REQUEST_TIMEOUT_S, REQUEST_TIMEOUT_S, REQUEST_TIMEOUT_S, RESPONSE_MAX_BYTES
+    )
 
     async def fetch(tag: bytes) -> Result[HostListResponse | None]:
-        headers = {"If-None-Match": tag} if tag else {}
+        headers = [("If-None-Match", tag.decode("latin-1"))] if tag else []
         try:
-            with trio.fail_after(REQUEST_TIMEOUT_S):
-                response = await pool.request(
-                    "GET",
-                    f"{url}/v1/hosts",
-                    headers=headers,
-                    extensions={"timeout": timeouts},
-                )
-        except (
-            httpcore.NetworkError,
-            httpcore.TimeoutException,
-            httpcore.ProtocolError,
-            trio.TooSlowError,
-        ) as exc:
+            response = await call_http(
+                pool, "GET", f"{url}/v1/hosts", limits, headers=headers
+            )
+        except CALL_ERRORS as exc:
             return Err(Code.UPSTREAM_DOWN, f"host list: {type(exc).__name__}: {exc}")
         if response.status == 304:
             return Ok(None)
         if response.status != 200:
             return Err(Code.UPSTREAM_DOWN, f"host list: status {response.status}")
-        body = response.content
+        body = response.body
         entries = parse_hosts(body)
         if isinstance(entries, Err):
             return entries
--- a/src/mustardfront/coordination/kv/_client.py
+++ b/src/mustardfront/coordination/kv/_client.py
@@ -22,6 +22,7 @@
     KV_CONNECTIONS,
 )
 from mustardfront.decoding import decode_json
+from mustardfront.http_calls import CallLimits, CallResponse, call_http, check_length
 from mustardfront.results import Err, Ok, Result
 
 _PATHS: Final = {
@@ -37,6 +38,17 @@
 # Responses to calls on leases may have the revision of a member that lags behind.
 _LINEARIZABLE_KINDS: Final = frozenset({"range", "txn"})
 _HEADERS: Final = [("Content-Type", "application/json")]
+# The records of a service's 16 partitions have at most 2 MB each, read one at a time.
+RESPONSE_MAX_BYTES: Final = 16 * 1024 * 1024
+# One line of a watch has the events of one revision; a write has at most 1 MB.
+WATCH_LINE_MAX_BYTES: Final = 4 * 1024 * 1024
+# A call waits for the pool, to send its request, and for the response.
+_CALL_LIMITS: Final = CallLimits(
+    KV_CALL_TIMEOUT_S,
+    CONNECT_TIMEOUT_S,
+    CONNECT_TIMEOUT_S + 3 * KV_CALL_TIMEOUT_S,
+    RESPONSE_MAX_BYTES,
+)
 # These are raised before any part of the request was sent.
 _NOT_SENT: Final = (
     httpcore.ConnectError,
@@ -233,16 +245,15 @@
         ambiguous_code = (
             Code.WRITE_UNKNOWN if kind in _WRITE_KINDS else Code.STORE_UNAVAILABLE
         )
-        timeout = dict.fromkeys(("read", "write", "pool"), KV_CALL_TIMEOUT_S)
-        timeout["connect"] = CONNECT_TIMEOUT_S
         before = (self.restores, self._revision)
         try:
-            response = await self._pool.request(
+            response = await call_http(
+                self._pool,
                 "POST",
                 self._url + _PATHS[kind],
+                _CALL_LIMITS,
                 headers=_HEADERS,
                 content=msgspec.json.encode(body),
-                extensions={"timeout": timeout},
             )
         except _NOT_SENT as exc:
             return Err(Code.STORE_UNAVAILABLE, f"{kind}: {_describe_exception(exc)}")
@@ -255,7 +266,7 @@
         if response.status >= 400:
             return _error_from_response(kind, response, ambiguous_code)
         try:
-            body = decode_json(response.content, dict[str, Any])
+            body = decode_json(response.body, dict[str, Any])
         except msgspec.DecodeError as exc:
             return Err(ambiguous_code, f"{kind}: malformed response: {exc}")
         if kind in _LINEARIZABLE_KINDS:
@@ -285,11 +296,9 @@
 
 
 def _error_from_response(
-    kind: str, response: httpcore.Response, ambiguous_code: Code
+    kind: str, response: CallResponse, ambiguous_code: Code
 ) -> Err:
-    text = (
-        f"{kind}: {response.status} {response.content[:200].decode(errors='replace')}"
-    )
+    text = f"{kind}: {response.status} {response.body[:200].decode(errors='replace')}"
     if kind != "range" and response.status == 404:
         return Err(Code.LEASE_LOST, text)
     # A client error means that the call was rejected before it could take effect. A
@@ -304,6 +313,7 @@
     try:
         async for data in response.aiter_stream():
             *lines, buffer = (buffer + data).split(b"\n")
+            check_length(len(buffer), WATCH_LINE_MAX_BYTES)
             for line in filter(None, lines):
                 message = decode_json(line, dict[str, Any])
                 result = message.get("result", {})
--- a/src/mustardfront/programs/gateway/_head_limit.py
+++ b/src/mustardfront/programs/_head_limit.py
@@ -14,11 +14,14 @@
 
 
 class HeadLimitedBackend(httpcore.AsyncNetworkBackend):
-    """Opens connections whose ``HeadLimitedStream`` is in ``stream`` afterwards."""
+    """Opens the connection of one exchange through another backend.
 
-    def __init__(self) -> None:
+    Its ``HeadLimitedStream`` is in ``stream`` afterwards.
+    """
+
+    def __init__(self, backend: httpcore.AsyncNetworkBackend | None = None) -> None:
         self.stream: HeadLimitedStream | None = None
-        self._backend = httpcore.TrioBackend()
+        self._backend = backend or httpcore.TrioBackend()
 
     async def connect_tcp(
         self,
--- a/src/mustardfront/programs/cli/_client.py
+++ b/src/mustardfront/programs/cli/_client.py
@@ -17,6 +17,7 @@
 from mustardfront.settings import make_param_type
 
 IO_TIMEOUT_S: Final = 30.0
+RESPONSE_MAX_BYTES: Final = 64 * 1024 * 1024
 _TOKEN_LINE: Final = re.compile(rb"([A-Za-z0-9_.-]+):([!-~]+)")
 _CONNECT_TIMEOUT_S: Final = 3.0
 # The process cannot serve requests now, but the one at the next address may.
@@ -114,16 +115,9 @@
     headers: dict[bytes | str, bytes | str] = {"Content-Type": "application/json"}
     if token is not None:
         headers["Authorization"] = token.authorization()
-    timeouts = dict.fromkeys(("read", "write", "pool"), IO_TIMEOUT_S)
     try:
         with httpcore.ConnectionPool(ssl_context=_ssl_context(ca_file)) as pool:
-            response = pool.request(
-                method,
-                url,
-                headers=headers,
-                content=body,
-                extensions={"timeout": timeouts | {"connect": _CONNECT_TIMEOUT_S}},
-            )
+            status, content = _exchange(pool, method, url, headers, body)
     except _NOT_SENT_ERRORS as exc:
         return Err(Code.CONNECT_FAILED, f"{url}: {exc}")
     except (
@@ -134,15 +128,37 @@
         code = Code.CONNECT_FAILED if body is None else Code.WRITE_UNKNOWN
         return Err(code, f"{url}: no complete response: {type(exc).__name__} {exc}")
     try:
-        data = json.loads(response.content)
-        if response.status < 400:
+        data = json.loads(content)
+        if status < 400:
             return Ok(data)
         error = data["error"]
         return Err(Code(error["code"]), str(error["text"]))
     except (ValueError, KeyError, TypeError):
-        if response.status == 404:
+        if status == 404:
             return Err(Code.REQUEST_NOT_FOUND, f"{url}: not found")
-        text = f"{url}: status {response.status} with an unexpected body"
+        text = f"{url}: status {status} with an unexpected body"
         # The response is not from the API, so it does not tell whether a write was
         # executed.
         return Err(Code.CONNECT_FAILED if body is None else Code.WRITE_UNKNOWN, text)
+
+
+def _exchange(
+    pool: httpcore.ConnectionPool,
+    method: str,
+    url: str,
+    headers: dict[bytes | str, bytes | str],
+    body: bytes | None,
+) -> tuple[int, bytes]:
+    """Send a request and return the status and the body of the response."""
+    timeouts = dict.fromkeys(("read", "write", "pool"), IO_TIMEOUT_S)
+    extensions = {"timeout": timeouts | {"connect": _CONNECT_TIMEOUT_S}}
+    with pool.stream(
+        method, url, headers=headers, content=body, extensions=extensions
+    ) as response:
+        content = bytearray()
+        for part in response.iter_stream():
+            content += part
+            if len(content) > RESPONSE_MAX_BYTES:
+                text = f"the response exceeds {RESPONSE_MAX_BYTES} bytes"
+                raise httpcore.RemoteProtocolError(text)
+        return response.status, bytes(content)
--- a/src/mustardfront/programs/entry/_app.py
+++ b/src/mustardfront/programs/entry/_app.py
@@ -14,6 +14,7 @@
 from mustardfront.constants import BODY_MAX_BYTES, REQUEST_ID_MAX_CHARS
 from mustardfront.coordination.limits import TeamLimits
 from mustardfront.metrics import Metrics
+from mustardfront.programs._held import Hold
 from mustardfront.programs.entry._answers import Answer, AsgiSend, Finish
 from mustardfront.programs.entry._callers import (
     CallerRequest,
@@ -27,6 +28,8 @@
 AsgiReceive = Callable[[], Awaitable[Any]]
 AsgiApp = Callable[[dict[str, Any], AsgiReceive, AsgiSend], Awaitable[None]]
 
+# Bounds how long a caller that stops sending holds memory.
+BODY_TIME_MAX_S: Final = 30.0
 _HEALTH_PATHS: Final = ("/healthz", "/readyz")
 
 
@@ -123,39 +126,55 @@
     }
     request_id = request_id_of(headers)
     answer = Answer(request_id[:REQUEST_ID_MAX_CHARS], front.is_draining)
-    body = await _read_body(receive)
-    req: Result[CallerRequest]
-    if isinstance(body, Err):
-        req = body
-    elif not front.is_ready():
-        req = Err(Code.NOT_READY, "this entry has no configuration yet")
-    else:
-        # "path" is percent-decoded, which would lose an encoded space or slash.
-        target = scope["raw_path"].decode("ascii")
-        if scope.get("query_string"):
-            target += "?" + scope["query_string"].decode("latin-1")
-        req = check_request(
-            front.forwarder.config(),
-            scope["method"],
-            target,
-            headers,
-            body.value,
-            request_id,
+    with front.forwarder.held.hold_for() as hold:
+        body: Result[bytes] = Err(
+            Code.DEADLINE_PASSED, "the caller did not send its request in time"
         )
-    if isinstance(req, Err):
-        finish = Finish(req.code, Outcome.NOT_RUN, req.text)
-        answer.send_error(finish)
-        await answer.deliver(send)
-        _log_finish(front, request_id, None, finish, began_s)
-        return
-    text = "internal error in the entry; see its log for the cause"
-    finish = Finish(Code.INTERNAL_ERROR, Outcome.UNKNOWN, text)
-    with events.log_exceptions(f"request {request_id}"):
-        finish = await _forward_within_limits(front, req.value, answer, receive, send)
-    if finish.code is Code.INTERNAL_ERROR and not answer.started:
-        answer.send_error(finish)
-        await answer.deliver(send)
-    _log_finish(front, request_id, req.value, finish, began_s)
+        with trio.move_on_after(BODY_TIME_MAX_S):
+            body = await _read_body(receive, hold)
+        req = _check_body(front, scope, headers, body, request_id)
+        if isinstance(req, Err):
+            finish = Finish(req.code, Outcome.NOT_RUN, req.text)
+            answer.send_error(finish)
+            await answer.deliver(send)
+            _log_finish(front, request_id, None, finish, began_s)
+            return
+        text = "internal error in the entry; see its log for the cause"
+        finish = Finish(Code.INTERNAL_ERROR, Outcome.UNKNOWN, text)
+        with events.log_exceptions(f"request {request_id}"):
+            finish = await _forward_within_limits(
+                front, req.value, answer, receive, send
+            )
+        if finish.code is Code.INTERNAL_ERROR and not answer.started:
+            answer.send_error(finish)
+            await answer.deliver(send)
+        _log_finish(front, request_id, req.value, finish, began_s)
+
+
+def _check_body(
+    front: FrontContext,
+    scope: dict[str, Any],
+    headers: dict[str, str],
+    body: Result[bytes],
+    request_id: str,
+) -> Result[CallerRequest]:
+    """Return the checked request whose body was read."""
+    if isinstance(body, Err):
+        return body
+    if not front.is_ready():
+        return Err(Code.NOT_READY, "this entry has no configuration yet")
+    # "path" is percent-decoded, which would lose an encoded space or slash.
+    target = scope["raw_path"].decode("ascii")
+    if scope.get("query_string"):
+        target += "?" + scope["query_string"].decode("latin-1")
+    return check_request(
+        front.forwarder.config(),
+        scope["method"],
+        target,
+        headers,
+        body.value,
+        request_id,
+    )
 
 
 async def _forward_within_limits(
@@ -216,13 +235,17 @@
     return finish
 
 
-async def _read_body(receive: AsgiReceive) -> Result[bytes]:
+async def _read_body(receive: AsgiReceive, hold: Hold) -> Result[bytes]:
     parts = bytearray()
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             return Err(Code.CANCELLED, "the caller disconnected")
-        parts += message.get("body", b"")
+        data = message.get("body", b"")
+        if not hold.try_add(len(data)):
+            text = "this entry holds as many bytes for callers as it may"
+            return Err(Code.QUEUE_FULL, text)
+        parts += data
         if len(parts) > BODY_MAX_BYTES:
             return Err(Code.BODY_TOO_LARGE, f"body over {BODY_MAX_BYTES} bytes")
         if not message.get("more_body", False):
--- a/src/mustardfront/programs/entry/_attempt.py
+++ b/src/mustardfront/programs/entry/_attempt.py
@@ -11,6 +11,7 @@
 from mustardfront.codes import Code, Outcome, parse_code, parse_outcome
 from mustardfront.coordination.routing import UpstreamTable
 from mustardfront.decoding import decode_json
+from mustardfront.programs._held import Hold
 from mustardfront.programs.entry._answers import Answer, Finish
 from mustardfront.programs.entry._callers import CallerRequest
 from mustardfront.protocol import (
@@ -81,8 +82,12 @@
     message: Request,
     answer: Answer,
     progress: Progress,
+    hold: Hold,
 ) -> AttemptResult:
-    """Send ``message``, forward its stream to the caller and return the result."""
+    """Send ``message``, forward its stream to the caller and return the result.
+
+    ``hold`` counts the bytes of an answer that is collected.
+    """
     began_s = trio.current_time()
     table.record_start(upstream)
     ok: bool | None = None
@@ -94,7 +99,7 @@
                 ok = False
                 return Failed(Code.PEER_LOST, Outcome.UNKNOWN, sent.text)
             result = await _relay_replies(
-                call, table, upstream, req, answer, progress, began_s
+                call, table, upstream, req, answer, progress, hold, began_s
             )
         ok = _upstream_succeeded(result)
         return result
@@ -124,6 +129,7 @@
     req: CallerRequest,
     answer: Answer,
     progress: Progress,
+    hold: Hold,
     began_s: float,
 ) -> AttemptResult:
     head = Head(call.stream, 200)
@@ -152,6 +158,9 @@
             if not _is_stream(req, head):
                 if reply.index != len(parts):
                     return _unexpected_part(reply, len(parts))
+                if not hold.try_add(len(reply.data)):
+                    text = "the answer exceeds what this entry may hold for all callers"
+                    return Failed(Code.UPSTREAM_BAD_ANSWER, Outcome.UNKNOWN, text)
                 parts.append(reply.data)
             elif reply.index > progress.next_index:
                 return _unexpected_part(reply, progress.next_index)
--- a/src/mustardfront/programs/entry/_forward.py
+++ b/src/mustardfront/programs/entry/_forward.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import Final
 
 import trio
@@ -22,6 +22,7 @@
     choose,
 )
 from mustardfront.programs._crash_reports import part_content
+from mustardfront.programs._held import HeldBytes, Hold
 from mustardfront.programs.entry._answers import Answer, Finish
 from mustardfront.programs.entry._attempt import (
     AttemptResult,
@@ -80,6 +81,7 @@
     budget_of: Callable[[str], RetryBudget]
     quarantine: Quarantine
     crash_evidence: CrashEvidence
+    held: HeldBytes = field(default_factory=HeldBytes)
 
 
 async def forward(fwd: Forwarder, req: CallerRequest, answer: Answer) -> Finish:
@@ -87,8 +89,11 @@
     deadline_s = trio.current_time() + req.deadline_ms / 1000
     progress = Progress()
     # The sidecar ends the attempt at the deadline and knows whether it ran.
-    with trio.move_on_at(deadline_s + DEADLINE_GRACE_S):
-        return await _run_attempts(fwd, req, answer, progress, deadline_s)
+    with (
+        trio.move_on_at(deadline_s + DEADLINE_GRACE_S),
+        fwd.held.hold_for() as hold,
+    ):
+        return await _run_attempts(fwd, req, answer, progress, hold, deadline_s)
     text = f"no complete answer within {req.deadline_ms} ms"
     outcome = Outcome.UNKNOWN if progress.sent else Outcome.NOT_RUN
     finish = Finish(Code.DEADLINE_PASSED, outcome, text)
@@ -140,6 +145,7 @@
     req: CallerRequest,
     answer: Answer,
     progress: Progress,
+    hold: Hold,
     deadline_s: float,
 ) -> Finish:
     budget = fwd.budget_of(req.service)
@@ -153,7 +159,9 @@
         history.count += 1
         history.upstream = decision.upstream
         message = _make_message(req, history, progress, deadline_s, decision)
-        result = await _attempt_once(fwd, req, decision, message, answer, progress)
+        result = await _attempt_once(
+            fwd, req, decision, message, answer, progress, hold
+        )
         if isinstance(result, Completed):
             fwd.quarantine.clear_crashes(req.fingerprint)
             fwd.crash_evidence.record_success(part_content(req.part))
@@ -199,12 +207,13 @@
     message: Request,
     answer: Answer,
     progress: Progress,
+    hold: Hold,
 ) -> AttemptResult:
     calls = await fwd.links.calls(decision.upstream, decision.address)
     if isinstance(calls, Err):
         return Failed(Code.CONNECT_FAILED, Outcome.NOT_RUN, calls.text)
     return await run_attempt(
-        calls.value, fwd.table, decision.upstream, req, message, answer, progress
+        calls.value, fwd.table, decision.upstream, req, message, answer, progress, hold
     )
 
 
--- a/src/mustardfront/programs/gateway/_app.py
+++ b/src/mustardfront/programs/gateway/_app.py
@@ -11,16 +11,22 @@
 from mustardfront import events
 from mustardfront.codes import Code, Outcome
 from mustardfront.metrics import Metrics
+from mustardfront.programs._held import Hold
 from mustardfront.programs._http import send_text
 from mustardfront.programs.gateway._choice import Forwarder
 from mustardfront.programs.gateway._forward import Finish, forward, retry_after_s
-from mustardfront.programs.gateway._held import Hold
 from mustardfront.programs.gateway._reply import AsgiSend, ResponseWriter
-from mustardfront.programs.gateway._request import GatewayRequest, read_request
+from mustardfront.programs.gateway._request import (
+    GatewayRequest,
+    caller_deadline_ms,
+    read_request,
+)
 from mustardfront.results import Err, Ok, Result
 
 # Requests that arrive before the first configuration wait for it at most this long.
 CONFIG_WAIT_MAX_S: Final = 0.7
+# Bounds how long a caller that stops sending holds memory, whatever deadline it names.
+BODY_TIME_MAX_S: Final = 30.0
 
 AsgiReceive = Callable[[], Awaitable[Any]]
 AsgiApp = Callable[[dict[str, Any], AsgiReceive, AsgiSend], Awaitable[None]]
@@ -68,7 +74,7 @@
     fwd = frontend.forwarder
     await _wait_for_config(fwd)
     with fwd.held.hold_for() as hold:
-        body = await _read_body(receive, frontend, hold)
+        body = await _read_body_in_time(frontend, scope, receive, hold)
         await _handle_body(frontend, scope, receive, writer, body, arrived_at)
 
 
@@ -139,6 +145,17 @@
     return finish
 
 
+async def _read_body_in_time(
+    frontend: Frontend, scope: dict[str, Any], receive: AsgiReceive, hold: Hold
+) -> Result[bytes]:
+    """Read a request's body, as long as its caller could still get an answer."""
+    names = frontend.forwarder.header_names
+    limit_s = min(caller_deadline_ms(scope["headers"], names) / 1000, BODY_TIME_MAX_S)
+    with trio.move_on_after(limit_s):
+        return await _read_body(receive, frontend, hold)
+    return Err(Code.DEADLINE_PASSED, "the caller did not send its request in time")
+
+
 async def _read_body(
     receive: AsgiReceive, frontend: Frontend, hold: Hold
 ) -> Result[bytes]:
--- a/src/mustardfront/programs/gateway/_attempt.py
+++ b/src/mustardfront/programs/gateway/_attempt.py
@@ -16,18 +16,18 @@
 import trio
 
 from mustardfront.codes import Code
+from mustardfront.constants import RESPONSE_BODY_MAX_BYTES
 from mustardfront.coordination.traffic import Upstream
+from mustardfront.programs._head_limit import HeadLimitedBackend
+from mustardfront.programs._held import Hold
 from mustardfront.programs.gateway._crash import is_listening
-from mustardfront.programs.gateway._head_limit import HeadLimitedBackend
 from mustardfront.programs.gateway._header_names import HeaderNames
-from mustardfront.programs.gateway._held import Hold
 from mustardfront.programs.gateway._reply import ResponseWriter, end_to_end_headers
 from mustardfront.programs.gateway._request import GatewayRequest, RawHeaders
 from mustardfront.programs.gateway._sse import EventSplitter
 from mustardfront.state import RequestKind
 
 CONNECT_TIMEOUT_S: Final = 0.4
-RESPONSE_BODY_MAX_BYTES: Final = 16 * 1024 * 1024
 EVENT_MAX_BYTES: Final = 1024 * 1024
 EVENT_STREAM: Final = b"text/event-stream"
 _CRASHED_AT_END: Final = "the upstream crashed where its unframed response ended"
--- a/src/mustardfront/programs/gateway/_choice.py
+++ b/src/mustardfront/programs/gateway/_choice.py
@@ -23,9 +23,9 @@
     expected_foreign_load,
     selectable_upstreams,
 )
+from mustardfront.programs._held import HeldBytes
 from mustardfront.programs.gateway._crash import CrashReporter
 from mustardfront.programs.gateway._header_names import HeaderNames
-from mustardfront.programs.gateway._held import HeldBytes
 from mustardfront.programs.gateway._outbox import Outbox
 from mustardfront.programs.gateway._request import GatewayRequest
 
--- a/src/mustardfront/programs/gateway/_forward.py
+++ b/src/mustardfront/programs/gateway/_forward.py
@@ -19,6 +19,7 @@
     selectable_upstreams,
     silence_timeout_s,
 )
+from mustardfront.programs._held import Hold
 from mustardfront.programs.gateway._attempt import (
     AttemptResult,
     Failed,
@@ -34,7 +35,6 @@
     wait_for_upstream,
 )
 from mustardfront.programs.gateway._crash import is_listening
-from mustardfront.programs.gateway._held import Hold
 from mustardfront.programs.gateway._reply import ResponseWriter
 from mustardfront.programs.gateway._request import GatewayRequest
 
--- a/src/mustardfront/programs/gateway/_request.py
+++ b/src/mustardfront/programs/gateway/_request.py
@@ -91,7 +91,8 @@
         return access
     request_id = headers.get(header_names.request_id, b"").decode("latin-1")
     limit_s = (
-        min(_caller_deadline_ms(headers, header_names), route.value.timeout_ms) / 1000
+        min(caller_deadline_ms(scope["headers"], header_names), route.value.timeout_ms)
+        / 1000
     )
     prompt, max_output = _token_counts(headers.get(header_names.token_counts, b""))
     return Ok(
@@ -154,11 +155,13 @@
     return key.strip() if scheme.lower() == header_names.key_scheme.lower() else ""
 
 
-def _caller_deadline_ms(
-    headers: dict[bytes, bytes], header_names: HeaderNames
+def caller_deadline_ms(
+    headers: Iterable[tuple[bytes, bytes]], header_names: HeaderNames
 ) -> float:
+    """Return for how many milliseconds the caller waits after sending the headers."""
+    by_name = {name.lower(): value for name, value in headers}
     try:
-        return max(0.0, float(headers.get(header_names.deadline_ms, b"")))
+        return max(0.0, float(by_name.get(header_names.deadline_ms, b"")))
     except ValueError:
         return _DEADLINE_DEFAULT_MS
 
--- a/src/mustardfront/programs/sidecar/_health.py
+++ b/src/mustardfront/programs/sidecar/_health.py
@@ -29,6 +29,8 @@
 # between them, so a check meanwhile may be cut, which neither proves nor excludes a
 # crash. Such a check is repeated, up to this number of checks.
 CUT_CHECKS_MAX: Final = 20
+# A health check's answer names an instance and little else.
+BODY_MAX_BYTES: Final = 64 * 1024
 _HEALTH_CALL: Final = UpstreamCall("GET", "/healthz")
 
 
@@ -68,6 +70,9 @@
                 if not part.value:
                     break
                 body += part.value
+                if len(body) > BODY_MAX_BYTES:
+                    text = f"the health check's answer exceeds {BODY_MAX_BYTES} bytes"
+                    return CheckResult(False, text=text)
             if result.value.status >= 500:
                 return CheckResult(
                     False,
--- a/src/mustardfront/programs/sidecar/_relay.py
+++ b/src/mustardfront/programs/sidecar/_relay.py
@@ -11,6 +11,7 @@
 
 from mustardfront import events
 from mustardfront.codes import Code
+from mustardfront.constants import RESPONSE_BODY_MAX_BYTES
 from mustardfront.coordination.traffic import (
     RateLimitNotice,
     parse_rate_limit,
@@ -251,12 +252,17 @@
     A body without a length or chunks ends with its connection, which a crash closes
     as well; so it is complete only if the upstream runs on.
     """
+    size = 0
     while True:
         data = await response.receive()
         if isinstance(data, Err):
             return data
         if not data.value:
             break
+        size += len(data.value)
+        if size > RESPONSE_BODY_MAX_BYTES:
+            text = f"the upstream's answer exceeds {RESPONSE_BODY_MAX_BYTES} bytes"
+            return Err(Code.UPSTREAM_BAD_ANSWER, text)
         await attempt.send_body(data.value)
     if not response.length_known and await sidecar.confirm_crash(attempt):
         text = "the upstream crashed where an answer without a length ended"
--- a/src/mustardfront/protocol/_peer.py
+++ b/src/mustardfront/protocol/_peer.py
@@ -18,6 +18,8 @@
     CHUNKS_MAX_BYTES,
     CHUNKS_VERSION,
     CONNECT_TIMEOUT_S,
+    FRAME_MAX_BYTES,
+    HANDSHAKE_FRAME_MAX_BYTES,
     HANDSHAKE_TIMEOUT_S,
     PROTOCOL_VERSION,
     PROTOCOL_VERSION_MIN,
@@ -171,9 +173,11 @@
     version that this side offers.
     """
     async with FrameStream(stream) as frames:
+        frames.receive_max_bytes = HANDSHAKE_FRAME_MAX_BYTES
         hello = await _handshake(
             frames, identity, key, dialled=dialled, version=version
         )
+        frames.receive_max_bytes = FRAME_MAX_BYTES
         if isinstance(hello, Err):
             events.log(events.Event.PEER_REFUSED, code=int(hello.code), text=hello.text)
             yield hello
--- a/src/mustardfront/transport/_frames.py
+++ b/src/mustardfront/transport/_frames.py
@@ -20,10 +20,11 @@
     """A byte stream of frames: a 4-byte big-endian length, then the payload.
 
     It owns the byte stream and closes it on exit. At most one task may send and one
-    may receive at a time.
+    may receive at a time. ``receive_max_bytes`` bounds the payloads that it accepts.
     """
 
     def __init__(self, stream: trio.abc.Stream) -> None:
+        self.receive_max_bytes = FRAME_MAX_BYTES
         self._stream = stream
         self._buffer = bytearray()
 
@@ -78,7 +79,7 @@
         if len(self._buffer) < _LENGTH_BYTES:
             return None
         size = int.from_bytes(self._buffer[:_LENGTH_BYTES], "big")
-        if size > FRAME_MAX_BYTES:
+        if size > self.receive_max_bytes:
             return Err(
                 Code.FRAME_TOO_LARGE,
                 f"incoming frame of {size} bytes exceeds the size limit",
--- a/tests/test_gateway_endless.py
+++ b/tests/test_gateway_endless.py
@@ -18,7 +18,7 @@
     stream_events,
     stream_head,
 )
-from mustardfront.programs.gateway._held import HeldBytes
+from mustardfront.programs._held import HeldBytes
 from mustardfront.programs.gateway._sse import EventSplitter
 
 PIECE = b"x" * 4096
@@ -130,6 +130,26 @@
         assert gw.frontend.forwarder.held.bytes == 0
 
 
+async def test_a_caller_that_stops_sending_its_body_is_refused():
+    """Guards against callers that hold memory for as long as they like."""
+    upstream = FakeUpstream([respond(200)])
+    async with (
+        gateway({"u1": upstream}) as gw,
+        await trio.open_tcp_stream(*gw.address) as conn,
+    ):
+        await conn.send_all(
+            b"POST /book/x HTTP/1.1\r\nhost: shop.example\r\nx-request-id: r1\r\n"
+            b"authorization: Bearer k1\r\nx-deadline-ms: 300\r\n"
+            b"content-length: 5000\r\n\r\nhalf"
+        )
+        with trio.fail_after(5):
+            head = await conn.receive_some()
+            assert head.startswith(b"HTTP/1.1 503 ")
+            await wait_for_end(gw)
+        assert gw.frontend.forwarder.held.bytes == 0
+        assert upstream.requests == []
+
+
 async def test_a_stream_cut_inside_an_event_is_incomplete():
     """Guards against a broken answer that reaches the caller as a complete success."""
 
