Hold a whole request only for crashes that followed each other

What callers saw: two of twelve workers crash while one page is looked up at both.

Cause: a request's fingerprint at two crashes was held whatever else was known of it. Upstreams of one rack crash at once, with whatever runs there. Output cleared the request only in the entry that saw it: reports named sound parts, not sound requests, and nothing was written after the crash. Reports stay for ten minutes, and a refused request has no output that could clear it.

Change: reports say when the crash was noticed and when each suspect was sent. A whole request is held if one of its crashes followed another: it was sent after the other was noticed, which no victim of a common failure is. Reports name sound fingerprints as well as sound parts. An entry that sees output of what was at several crashes writes that to the store, after a random delay and only if no other entry did; it counts for the crashes it names alone, in whatever order the reports are read. Reports without times count as before.

Evidence: ten new tests fail on the code before, one of them through a gateway over sockets (test_sound_request_that_two_crashes_cut_off_is_served_again). A request that crashes one upstream after the other is held at the second crash, as before.

Parts of prompts are still held at two crashes of one moment if nobody knows output of them: requests with a part that crashes upstreams come several at a time, and each costs a group. Output anywhere now ends that hold at all entries.

--- a/src/mustardfront/coordination/quarantine/_evidence.py
+++ b/src/mustardfront/coordination/quarantine/_evidence.py
@@ -46,20 +46,38 @@
 
     ``crash`` names the incarnation that crashed, ``suspects`` are this entry's requests
     that waited for their first output there. ``sound_parts`` are those of their parts
-    that had produced output since the crash before.
+    and fingerprints that had produced output since the crash before, ``cleared`` are
+    those that produced output after this crash. ``noticed_s`` is when the entry noticed
+    the crash, ``sent_s`` when it sent each suspect, in Unix seconds.
+
+    Reports of earlier versions have no times; such a crash counts for itself.
     """
 
     crash: str
     reporter: str
     suspects: tuple[RequestContent, ...]
     sound_parts: tuple[str, ...] = ()
+    cleared: tuple[str, ...] = ()
+    noticed_s: float | None = None
+    sent_s: tuple[float, ...] = ()
 
 
 @dataclass(slots=True)
 class _Crash:
+    """A crash; ``at_s`` is in this process's time, ``noticed_s`` in Unix seconds.
+
+    ``sound`` and ``cleared`` are the names that reports say had output before and after
+    it; ``announced`` are the cleared ones that other entries know.
+    """
+
+    name: str
     number: int
     at_s: float
+    noticed_s: float
     suspects: dict[str, RequestContent] = field(default_factory=dict)
+    sound: set[str] = field(default_factory=set)
+    cleared: set[str] = field(default_factory=set)
+    announced: set[str] = field(default_factory=set)
 
 
 @dataclass(slots=True)
@@ -67,19 +85,28 @@
     """How a part or request was at one crash.
 
     ``position`` is a part's last position in a prompt; ``fingerprints`` are the
-    suspects that had it.
+    suspects that had it. ``sent_s`` is when the last of them was sent, in Unix seconds.
     """
 
     crash: _Crash
     position: int = 0
     fingerprints: set[str] = field(default_factory=set)
+    sent_s: float = 0.0
 
 
 class CrashEvidence:
-    """Crashes and successes by request content; ``clock`` returns seconds."""
+    """Crashes and successes by request content.
+
+    ``clock`` returns seconds, ``unix_clock`` the time that entries agree on.
+    """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        unix_clock: Callable[[], float] | None = None,
+    ) -> None:
         self._clock = clock
+        self._unix_clock = unix_clock or clock
         # Oldest first.
         self._crashes: dict[str, _Crash] = {}
         self._last_number = 0
@@ -92,8 +119,13 @@
         self._held: frozenset[str] | None = frozenset()
         self._logged: frozenset[str] = frozenset()
 
-    def record_success(self, content: RequestContent) -> None:
-        """Clear the content of a request that produced output."""
+    def record_success(self, content: RequestContent) -> dict[str, list[str]]:
+        """Clear the content of a request that produced output.
+
+        Return, by crash, the names that other entries may still hold: those that were
+        at several crashes, and that no report says had output between them.
+        """
+        found = self._suspected_names(content)
         was_suspect = content.fingerprint in self._counted
         if was_suspect:
             self._clear(content.fingerprint, self._last_number)
@@ -102,6 +134,24 @@
             self._clear(part, self._last_number)
         if was_suspect:
             self._held = None
+        return found
+
+    def _suspected_names(self, content: RequestContent) -> dict[str, list[str]]:
+        found: dict[str, list[str]] = {}
+        for name in (content.fingerprint, *content.parts):
+            crashes = [one.crash for one in self._counted.get(name, {}).values()]
+            is_known_sound = any(name in crash.sound for crash in crashes)
+            if len(crashes) < CRASHES_TO_HOLD or is_known_sound:
+                continue
+            for crash in crashes:
+                crash.cleared.add(name)
+                found.setdefault(crash.name, []).append(name)
+        return found
+
+    def lacks_clearance(self, report: CrashReport) -> bool:
+        """Return whether other entries do not know all that a report clears."""
+        crash = self._crashes.get(report.crash)
+        return crash is not None and not crash.announced.issuperset(report.cleared)
 
     def record_crash(self, report: CrashReport) -> bool:
         """Add a report, and return whether it was new.
@@ -110,16 +160,23 @@
         """
         self._drop_expired()
         crash = self._crashes.get(report.crash)
+        now_s = self._unix_clock()
+        noticed_s = now_s if report.noticed_s is None else report.noticed_s
         if crash is None:
             self._last_number += 1
-            crash = _Crash(self._last_number, self._clock())
+            number = self._last_number
+            crash = _Crash(report.crash, number, self._clock(), noticed_s)
             self._crashes[report.crash] = crash
+        crash.noticed_s = min(crash.noticed_s, noticed_s)
+        crash.sound.update(report.sound_parts)
         for part in report.sound_parts:
             self._clear(part, crash.number - 1)
-        room = SUSPECTS_PER_CRASH_MAX - len(crash.suspects)
+        for name in report.cleared:
+            self._clear_at(crash, name)
         new = [one for one in report.suspects if one.fingerprint not in crash.suspects]
-        for suspect in new[:room]:
-            self._add_suspect(crash, suspect)
+        sent_s = report.sent_s or (now_s,) * len(report.suspects)
+        for suspect, suspect_sent_s in zip(report.suspects, sent_s, strict=False):
+            self._add_suspect(crash, suspect, suspect_sent_s)
         if new:
             events.log(
                 events.Event.CRASH_SUSPECTED,
@@ -130,7 +187,7 @@
                 sound_parts=report.sound_parts,
             )
             self._held = None
-        if report.sound_parts:
+        if report.sound_parts or report.cleared:
             self._held = None
         return bool(new)
 
@@ -143,16 +200,23 @@
         }
 
     def sound_parts(self, crash: str, contents: Iterable[RequestContent]) -> list[str]:
-        """Return the parts that produced output after the crashes before ``crash``."""
+        """Return the names that produced output after the crashes before ``crash``.
+
+        Names are the parts and the fingerprints of ``contents``.
+        """
         known = self._crashes.get(crash)
         own_number = known.number if known else 0
 
-        def is_sound(part: str) -> bool:
-            others = self._counted.get(part, {}).keys() - {own_number}
-            return part in self._cleared and not others
+        def is_sound(name: str) -> bool:
+            others = self._counted.get(name, {}).keys() - {own_number}
+            return name in self._cleared and not others
 
-        parts = {part for content in contents for part in content.parts}
-        return sorted(filter(is_sound, parts))
+        names = {
+            name
+            for content in contents
+            for name in (content.fingerprint, *content.parts)
+        }
+        return sorted(filter(is_sound, names))
 
     def held_content(self, content: RequestContent) -> str | None:
         """Return the fingerprint or part for which a request must be refused."""
@@ -176,6 +240,7 @@
             name
             for name, counted in repeated.items()
             if any(name in one.crash.suspects for one in counted.values())
+            and _are_separate(counted.values())
         }
         held |= self._explain(
             {name: counted for name, counted in repeated.items() if name not in held}
@@ -201,15 +266,21 @@
         latest = next(reversed(self._crashes.values()))
         return max(0.0, latest.at_s + CRASH_TTL_S - self._clock())
 
-    def _add_suspect(self, crash: _Crash, suspect: RequestContent) -> None:
+    def _add_suspect(
+        self, crash: _Crash, suspect: RequestContent, sent_s: float
+    ) -> None:
+        is_full = len(crash.suspects) >= SUSPECTS_PER_CRASH_MAX
+        if is_full and suspect.fingerprint not in crash.suspects:
+            return
         crash.suspects[suspect.fingerprint] = suspect
         for position, name in enumerate((suspect.fingerprint, *suspect.parts)):
-            if crash.number <= self._cleared.get(name, 0):
+            if crash.number <= self._cleared.get(name, 0) or name in crash.cleared:
                 continue
             counted = self._counted.setdefault(name, {})
             presence = counted.setdefault(crash.number, _Presence(crash))
             presence.position = max(presence.position, position)
             presence.fingerprints.add(suspect.fingerprint)
+            presence.sent_s = max(presence.sent_s, sent_s)
 
     def _clear(self, name: str, number: int) -> None:
         number = max(number, self._cleared.pop(name, 0))
@@ -220,6 +291,13 @@
         if name in self._counted:
             self._uncount(name, [one for one in self._counted[name] if one <= number])
 
+    def _clear_at(self, crash: _Crash, name: str) -> None:
+        """Clear a name of one crash, as another entry saw its output afterwards."""
+        crash.cleared.add(name)
+        crash.announced.add(name)
+        self._clear(name, 0)
+        self._uncount(name, [crash.number])
+
     def _uncount(self, name: str, numbers: Iterable[int]) -> None:
         counted = self._counted.get(name, {})
         for number in numbers:
@@ -280,3 +358,15 @@
         times = [one.crash.at_s for one in presences]
         is_apart = max(times) - min(times) >= SEPARATE_CRASH_S
         return len(presences) >= KNOWN_PART_CRASHES_TO_HOLD and is_apart
+
+
+def _are_separate(presences: Collection[_Presence]) -> bool:
+    """Return whether one content was at crashes that followed each other.
+
+    Upstreams of one rack crash at once, with whatever runs there. A request that was
+    sent after an earlier crash was noticed is no victim of that.
+    """
+    first = min(presences, key=lambda one: one.crash.noticed_s)
+    return any(
+        one.sent_s >= first.crash.noticed_s for one in presences if one is not first
+    )
--- a/src/mustardfront/coordination/traffic/_upstreams.py
+++ b/src/mustardfront/coordination/traffic/_upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
@@ -102,7 +103,7 @@
         self._listeners: list[Callable[[], None]] = []
         self._restore_listeners: list[Callable[[], None]] = []
         self._era: int | None = None
-        self.crash_evidence = CrashEvidence(clock)
+        self.crash_evidence = CrashEvidence(clock, time.time)
         self.rate_limits = RateLimits(clock, entry)
         self.backoffs = Backoffs(clock)
 
--- a/src/mustardfront/programs/gateway/_crash.py
+++ b/src/mustardfront/programs/gateway/_crash.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import errno
+import random
+import time
 from collections.abc import Awaitable, Callable
-from typing import Final
+from dataclasses import replace
+from typing import Any, Final
 
 import trio
 
@@ -17,12 +20,15 @@
 )
 from mustardfront.coordination.traffic import Upstream
 from mustardfront.programs.gateway._outbox import Outbox
-from mustardfront.results import Err, Result
+from mustardfront.results import Err, Ok, Result
 from mustardfront.state import LeasedKey
 
 LISTEN_CHECK_TIMEOUT_S: Final = 0.2
 # The requests that a crash cut off end within this time and are reported together.
 REPORT_DELAY_S: Final = 0.1
+# All entries see output of a common prompt part within moments of a crash. At different
+# delays all but the first find that the others know of it.
+CLEARANCE_DELAY_S: Final = (0.1, 2.0)
 # Bounds a report; readers count no more suspects of a crash either.
 REPORT_SUSPECTS_MAX: Final = 32
 
@@ -45,28 +51,54 @@
 
 
 class CrashReporter:
-    """Records crashes at this entry and writes them to the store for the others."""
+    """Records crashes at this entry and writes them to the store for the others.
+
+    Output of what was suspected is written too: an entry that refuses a request cannot
+    find out by itself that it is sound, nor can one that starts later.
+    """
 
     def __init__(self, entry: str, evidence: CrashEvidence) -> None:
         self._entry = entry
         self._evidence = evidence
         self._outbox = Outbox[CrashReport](lambda: REPORT_DELAY_S)
+        self._clearances = Outbox[CrashReport](
+            lambda: random.uniform(*CLEARANCE_DELAY_S)
+        )
         # This entry's reports of unexpired crashes.
         self._reports: dict[str, CrashReport] = {}
 
-    def record(self, upstream: Upstream, content: RequestContent) -> None:
-        """Record that a request waited for its first output at a crash."""
-        crash = upstream.incarnation
+    def record(
+        self, upstream: Upstream, content: RequestContent, sent_s: float | None = None
+    ) -> None:
+        """Record that a request waited for its first output at a crash.
+
+        ``sent_s`` is when it was sent, in Unix seconds; by default now.
+        """
+        crash, now_s = upstream.incarnation, time.time()
         before = self._reports.get(crash)
-        suspects = (*before.suspects, content) if before else (content,)
+        if before is None:
+            before = CrashReport(crash, self._entry, (), noticed_s=now_s)
+        suspects = (*before.suspects, content)
         sound = self._evidence.sound_parts(crash, suspects)
-        suspects = suspects[:REPORT_SUSPECTS_MAX]
-        report = CrashReport(crash, self._entry, suspects, tuple(sound))
+        report = replace(
+            before,
+            suspects=suspects[:REPORT_SUSPECTS_MAX],
+            sound_parts=tuple(sound),
+            sent_s=(*before.sent_s, now_s if sent_s is None else sent_s),
+        )
         self._evidence.record_crash(report)
         self._reports[crash] = report
         self._drop_expired()
         self._outbox.put(crash, report)
 
+    def record_output(self, content: RequestContent) -> None:
+        """Record that a request produced output, which clears its content."""
+        for crash, names in self._evidence.record_success(content).items():
+            before = self._reports.get(crash, CrashReport(crash, self._entry, ()))
+            cleared = dict.fromkeys((*before.cleared, *names))
+            self._reports[crash] = replace(before, cleared=tuple(cleared))
+            self._clearances.put(crash, self._reports[crash])
+
     def repeat(self) -> None:
         """Write all reports again, for a store that lost its last writes."""
         self._drop_expired()
@@ -82,13 +114,23 @@
         """Write the reports until cancelled."""
 
         async def write_report(report: CrashReport) -> Result[LeasedKey]:
-            written = await write(report, CRASH_TTL_S)
+            # The one in the outbox may be older: a report is written as a whole.
+            newest = self._reports.get(report.crash, report)
+            written = await write(newest, CRASH_TTL_S)
             if not isinstance(written, Err):
                 events.log(
                     events.Event.CRASH_REPORTED,
-                    crash=report.crash,
-                    requests=len(report.suspects),
+                    crash=newest.crash,
+                    requests=len(newest.suspects),
+                    cleared=len(newest.cleared),
                 )
             return written
 
-        await self._outbox.run(write_report)
+        async def write_clearance(report: CrashReport) -> Result[Any]:
+            if not self._evidence.lacks_clearance(report):
+                return Ok(None)
+            return await write_report(report)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._clearances.run, write_clearance)
+            await self._outbox.run(write_report)
--- a/src/mustardfront/programs/gateway/_forward.py
+++ b/src/mustardfront/programs/gateway/_forward.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Final
@@ -138,7 +139,7 @@
 
     def on_first_event() -> None:
         fwd.pace.record_first_event(group, attempt)
-        fwd.state.crash_evidence.record_success(req.content)
+        fwd.crash_reporter.record_output(req.content)
 
     def on_head(status: int, headers: Mapping[bytes, bytes]) -> None:
         _record_rate_limit(fwd, upstream, status, headers)
@@ -149,6 +150,7 @@
 
     progress.begin_attempt(on_first_event)
     started_at, events_before = trio.current_time(), progress.event_count
+    sent_s = time.time()
     result: AttemptResult = Failed(
         Code.UPSTREAM_TIMEOUT, "the upstream sent nothing within the silence limit"
     )
@@ -174,11 +176,11 @@
     if isinstance(result, NotRun):
         retry.may_have_run = may_have_run_before
     if isinstance(result, FullResponse):
-        fwd.state.crash_evidence.record_success(req.content)
+        fwd.crash_reporter.record_output(req.content)
     _record_result(fwd, upstream, result, retry)
     if isinstance(result, Failed) and result.connection_closed:
         event_count = progress.event_count - events_before
-        await _record_closed_attempt(fwd, req, upstream, retry, event_count, started_at)
+        await _record_closed_attempt(fwd, req, upstream, retry, event_count, sent_s)
     return result
 
 
@@ -224,13 +226,14 @@
     upstream: Upstream,
     retry: RetryState,
     event_count: int,
-    started_at: float,
+    sent_s: float,
 ) -> None:
     """Find out whether the upstream crashed, and whether this request is a suspect.
 
-    A request that had produced output did not crash the upstream.
+    A request that had produced output did not crash the upstream. ``sent_s`` is when
+    this one was sent, in Unix seconds.
     """
-    elapsed_s = trio.current_time() - started_at
+    elapsed_s = time.time() - sent_s
     listens = await is_listening(upstream.announced.address)
     events.log(
         events.Event.ATTEMPT_CLOSED,
@@ -245,7 +248,7 @@
     if listens is False and event_count == 0:
         evidence = fwd.state.crash_evidence
         retry.may_crash_another = not evidence.is_proven(req.content)
-        fwd.crash_reporter.record(upstream, req.content)
+        fwd.crash_reporter.record(upstream, req.content, sent_s)
 
 
 async def _cancel_if_silent(
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -124,6 +124,85 @@
     assert not evidence.is_proven(content("c", "p"))
 
 
+def timed(
+    name: str, noticed_s: float, *suspects: tuple[RequestContent, float]
+) -> CrashReport:
+    """Return a report of suspects and when each was sent."""
+    contents = tuple(suspect for suspect, _ in suspects)
+    sent_s = tuple(sent for _, sent in suspects)
+    return CrashReport(name, "e1", contents, noticed_s=noticed_s, sent_s=sent_s)
+
+
+def test_sound_request_at_two_crashes_of_one_moment_is_not_held():
+    """Guards against ten minutes of refusals after a rack with a popular page failed.
+
+    A starting entry has only the reports: nothing that it saw clears the request.
+    """
+    page = content("page")
+    evidence = CrashEvidence(Clock())
+    evidence.record_crash(timed("c1", 50.0, (page, 49.9)))
+    # The second entry was paused, and noticed its crash late.
+    evidence.record_crash(timed("c2", 53.0, (page, 49.8)))
+    evidence.record_crash(timed("c3", 50.1, (page, 49.95)))
+    assert evidence.held_content(page) is None
+
+
+def test_request_that_was_sent_after_its_first_crash_is_held():
+    """Guards against a request that crashes one upstream after the other."""
+    deadly = content("deadly")
+    evidence = CrashEvidence(Clock())
+    evidence.record_crash(timed("c1", 50.0, (deadly, 49.9)))
+    evidence.record_crash(timed("c2", 50.2, (deadly, 50.05)))
+    assert evidence.held_content(deadly) == "deadly"
+
+
+def test_output_between_two_crashes_is_reported_for_whole_requests():
+    """Guards against refusing a popular page after two crashes minutes apart."""
+    page = content("page")
+    first = CrashEvidence(Clock())
+    reports = [crash("c1", page)]
+    first.record_crash(reports[0])
+    first.record_success(page)
+    reports.append(crash("c2", page, sound=tuple(first.sound_parts("c2", [page]))))
+    assert reports[1].sound_parts == ("page",)
+    started_later = CrashEvidence(Clock())
+    for report in reports:
+        started_later.record_crash(report)
+    assert started_later.held_content(page) is None
+
+
+def test_names_that_others_may_hold_are_returned_by_crash():
+    """Guards against output that only the entry that sent it knows of."""
+    evidence = CrashEvidence(Clock())
+    evidence.record_success(content("s0", "common"))
+    sound = tuple(evidence.sound_parts("c1", [content("s1", "common", "new")]))
+    evidence.record_crash(crash("c1", content("s1", "common", "new"), sound=sound))
+    evidence.record_crash(crash("c2", content("s2", "common", "new")))
+    found = evidence.record_success(content("s3", "common", "new"))
+    # Reports say that the common part had output before; nobody holds it for these.
+    assert found == {"c1": ["new"], "c2": ["new"]}
+    assert evidence.record_success(content("s4", "common", "new")) == {}
+
+
+@pytest.mark.parametrize("order", [(0, 1, 2), (2, 1, 0), (1, 2, 0)])
+def test_clearance_counts_in_any_order_and_for_its_crash_alone(order):
+    """Guards against a read of the store in which a clearance precedes its crash."""
+    reports = [
+        crash("c1", content("s1", "p")),
+        crash("c2", content("s2", "p")),
+        CrashReport("c1", "entry2", (), cleared=("p",)),
+    ]
+    evidence = CrashEvidence(Clock())
+    for number in order:
+        evidence.record_crash(reports[number])
+    assert evidence.held_content(content("s9", "p")) is None
+    # Known parts need more crashes, but the one that was not cleared still counts.
+    clock_apart = CrashEvidence(Clock())
+    for number in order:
+        clock_apart.record_crash(reports[number])
+    assert len(clock_apart._counted["p"]) == 1
+
+
 def test_holds_expire():
     clock = Clock()
     evidence = CrashEvidence(clock)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -2,9 +2,17 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import trio
 
-from gateway_fakes import CrashingUpstream, gateway, instance, send_request
+from gateway_fakes import (
+    CrashingUpstream,
+    gateway,
+    instance,
+    respond,
+    send_request,
+)
 from mustardfront.codes import Code
 from mustardfront.coordination.quarantine import (
     CrashEvidence,
@@ -81,6 +89,84 @@
     assert held == "bad"
 
 
+async def test_sound_request_that_two_crashes_cut_off_is_served_again():
+    """Guards against refusing a popular page for ten minutes after a rack failed."""
+    upstreams = {f"u{n}": CrashingUpstream("bad") for n in range(2)}
+    arrived = trio.Event()
+
+    async def wait(request, conn):
+        if all(upstream.requests for upstream in upstreams.values()):
+            arrived.set()
+        await trio.sleep_forever()
+
+    for upstream in upstreams.values():
+        upstream.scripts = [wait]
+    async with gateway(upstreams) as gw:
+        async with trio.open_nursery() as callers:
+            for number in range(2):
+                headers = {"x-request-id": f"r{number}"}
+                callers.start_soon(partial(send_request, gw, "/get/x", headers=headers))
+            with trio.fail_after(5):
+                await arrived.wait()
+            for upstream in upstreams.values():
+                upstream.scripts = [respond(200)]
+                upstream.crash()
+        await trio.sleep(1.0)
+        response = await send_request(gw, "/get/x")
+        assert response.status == 200
+        # An entry that starts now has the reports of this one, and nothing else.
+        evidence = TrafficState(trio.current_time).crash_evidence
+        reports = gw.frontend.forwarder.crash_reporter._reports.values()
+        assert len(reports) == 2
+        for report in reports:
+            evidence.record_crash(report)
+        assert not evidence.held()
+
+
+async def test_output_of_a_suspect_reaches_entries_that_refuse_it():
+    """Guards against a part that one entry knows as sound and the others refuse."""
+    feed = RecordingFeed()
+    evidence = CrashEvidence(trio.current_time)
+    reporter = CrashReporter("entry0", evidence)
+    other = TrafficState(trio.current_time)
+    for number in range(2):
+        report = CrashReport(
+            f"u{number}.0", "entry1", (RequestContent(f"s{number}", ("p",)),)
+        )
+        evidence.record_crash(report)
+        other.apply(report, keep_missing=False)
+    assert other.crash_evidence.held() == {"p"}
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(reporter.run, feed.report_crash)
+        reporter.record_output(RequestContent("s5", ("p",)))
+        with trio.fail_after(5):
+            while len(feed.reports) < 2:  # noqa: ASYNC110
+                await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
+    for report in feed.reports:
+        other.apply(report, keep_missing=False)
+    assert not other.crash_evidence.held()
+
+
+async def test_output_that_another_entry_has_reported_is_not_reported_again():
+    """Guards against as many writes as there are entries for each crash."""
+    feed = RecordingFeed()
+    evidence = CrashEvidence(trio.current_time)
+    reporter = CrashReporter("entry0", evidence)
+    crashes = [f"u{number}.0" for number in range(2)]
+    for crash in crashes:
+        suspect = RequestContent(f"s-{crash}", ("p",))
+        evidence.record_crash(CrashReport(crash, "entry1", (suspect,)))
+    reporter.record_output(RequestContent("s5", ("p",)))
+    for crash in crashes:
+        evidence.record_crash(CrashReport(crash, "entry2", (), cleared=("p",)))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(reporter.run, feed.report_crash)
+        await trio.sleep(2.2)
+        nursery.cancel_scope.cancel()
+    assert feed.reports == []
+
+
 class RecordingFeed:
     """A store that is away for the first write."""
 
