Infer which prompt parts crash upstreams in time linear in the parts

What callers saw: two of twelve workers crash while long prompts wait there (ten documents of 600 parts).

Cause: CrashEvidence._explain took parts that had output before out one by one and ranked all that were left each time, in the event loop, and anew for each success. Beside it each connection that a crash cut off rebuilt its whole report and went through all parts of all suspects again.

Change: names whose crashes are enough to hold them are kept as they change; only these are ranked, with a heap, each again only if a part before it explained some of its crashes. A report is built when it is written. Bounds: 8,192 names at a crash, 32,768 at all, 2,048 parts of a request (IDs over 64 characters as a hash), 8,192 names in a report, 32 names in a log line. The outbox lets other messages go first when the store refuses one.

Also mended, as reports over the limit of a crash's suspects counted as new each time: two peers of the product's own path would have passed such a report to each other for ever.

Tests: linear time, bounds, and a property test against the slow ranking.

--- a/src/mustardfront/programs/gateway/_crash.py
+++ b/src/mustardfront/programs/gateway/_crash.py
@@ -6,7 +6,7 @@
 import random
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
+from dataclasses import dataclass, field
 from typing import Any, Final
 
 import trio
@@ -14,9 +14,11 @@
 from mustardfront import events
 from mustardfront.coordination.quarantine import (
     CRASH_TTL_S,
+    SUSPECTS_PER_CRASH_MAX,
     CrashEvidence,
     CrashReport,
     RequestContent,
+    bounded,
 )
 from mustardfront.coordination.traffic import Upstream
 from mustardfront.programs.gateway._outbox import Outbox
@@ -29,8 +31,8 @@
 # All entries see output of a common prompt part within moments of a crash. At different
 # delays all but the first find that the others know of it.
 CLEARANCE_DELAY_S: Final = (0.1, 2.0)
-# Bounds a report; readers count no more suspects of a crash either.
-REPORT_SUSPECTS_MAX: Final = 32
+# Reports that an entry keeps, so that it can write them again.
+REPORTS_MAX: Final = 128
 
 WriteReport = Callable[[CrashReport, float], Awaitable[Result[LeasedKey]]]
 
@@ -50,6 +52,20 @@
     return None
 
 
+@dataclass(slots=True)
+class _OwnReport:
+    """What this entry saw of a crash; ``at_s`` is when, in trio's time.
+
+    ``suspects`` are its requests there and when the last of them was sent.
+    """
+
+    at_s: float
+    noticed_s: float | None = None
+    suspects: dict[str, tuple[RequestContent, float]] = field(default_factory=dict)
+    sound: set[str] = field(default_factory=set)
+    cleared: set[str] = field(default_factory=set)
+
+
 class CrashReporter:
     """Records crashes at this entry and writes them to the store for the others.
 
@@ -60,12 +76,11 @@
     def __init__(self, entry: str, evidence: CrashEvidence) -> None:
         self._entry = entry
         self._evidence = evidence
-        self._outbox = Outbox[CrashReport](lambda: REPORT_DELAY_S)
-        self._clearances = Outbox[CrashReport](
-            lambda: random.uniform(*CLEARANCE_DELAY_S)
-        )
-        # This entry's reports of unexpired crashes.
-        self._reports: dict[str, CrashReport] = {}
+        # The crashes to report, and those whose content was cleared.
+        self._outbox = Outbox[str](lambda: REPORT_DELAY_S)
+        self._clearances = Outbox[str](lambda: random.uniform(*CLEARANCE_DELAY_S))
+        # Unexpired crashes that this entry saw, oldest first.
+        self._own: dict[str, _OwnReport] = {}
 
     def record(
         self, upstream: Upstream, content: RequestContent, sent_s: float | None = None
@@ -75,61 +90,94 @@
         ``sent_s`` is when it was sent, in Unix seconds; by default now.
         """
         crash, now_s = upstream.incarnation, time.time()
-        before = self._reports.get(crash)
-        if before is None:
-            before = CrashReport(crash, self._entry, (), noticed_s=now_s)
-        suspects = (*before.suspects, content)
-        sound = self._evidence.sound_parts(crash, suspects)
-        report = replace(
-            before,
-            suspects=suspects[:REPORT_SUSPECTS_MAX],
-            sound_parts=tuple(sound),
-            sent_s=(*before.sent_s, now_s if sent_s is None else sent_s),
+        own = self._own_report(crash)
+        noticed_s = own.noticed_s = own.noticed_s or now_s
+        sent_s = now_s if sent_s is None else sent_s
+        sound = self._evidence.sound_parts(crash, [content])
+        self._evidence.record_crash(
+            CrashReport(
+                crash,
+                self._entry,
+                (content,),
+                tuple(sound),
+                noticed_s=noticed_s,
+                sent_s=(sent_s,),
+            )
         )
-        self._evidence.record_crash(report)
-        self._reports[crash] = report
-        self._drop_expired()
-        self._outbox.put(crash, report)
+        known = own.suspects.get(content.fingerprint)
+        if known is None and len(own.suspects) >= SUSPECTS_PER_CRASH_MAX:
+            return
+        last_sent_s = max(sent_s, known[1] if known else sent_s)
+        own.suspects[content.fingerprint] = (content, last_sent_s)
+        own.sound.update(sound)
+        self._outbox.put(crash, crash)
 
     def record_output(self, content: RequestContent) -> None:
         """Record that a request produced output, which clears its content."""
         for crash, names in self._evidence.record_success(content).items():
-            before = self._reports.get(crash, CrashReport(crash, self._entry, ()))
-            cleared = dict.fromkeys((*before.cleared, *names))
-            self._reports[crash] = replace(before, cleared=tuple(cleared))
-            self._clearances.put(crash, self._reports[crash])
+            self._own_report(crash).cleared.update(names)
+            self._clearances.put(crash, crash)
+
+    def reports(self) -> list[CrashReport]:
+        """Return this entry's reports of unexpired crashes."""
+        self._drop_expired()
+        return [self._report(crash, own) for crash, own in self._own.items()]
 
     def repeat(self) -> None:
         """Write all reports again, for a store that lost its last writes."""
         self._drop_expired()
-        for crash, report in self._reports.items():
-            self._outbox.put(crash, report)
+        for crash in self._own:
+            self._outbox.put(crash, crash)
+
+    def _own_report(self, crash: str) -> _OwnReport:
+        self._drop_expired()
+        return self._own.setdefault(crash, _OwnReport(trio.current_time()))
+
+    def _report(self, crash: str, own: _OwnReport) -> CrashReport:
+        report = CrashReport(
+            crash,
+            self._entry,
+            tuple(content for content, _ in own.suspects.values()),
+            tuple(sorted(own.sound)),
+            tuple(sorted(own.cleared)),
+            own.noticed_s,
+            tuple(sent_s for _, sent_s in own.suspects.values()),
+        )
+        return bounded(report)
 
     def _drop_expired(self) -> None:
-        unexpired = self._evidence.suspects_by_crash()
-        for crash in self._reports.keys() - unexpired.keys():
-            del self._reports[crash]
+        oldest_s = trio.current_time() - CRASH_TTL_S
+        while self._own:
+            crash, own = next(iter(self._own.items()))
+            if own.at_s > oldest_s and len(self._own) <= REPORTS_MAX:
+                return
+            del self._own[crash]
 
     async def run(self, write: WriteReport) -> None:
         """Write the reports until cancelled."""
 
-        async def write_report(report: CrashReport) -> Result[LeasedKey]:
-            # The one in the outbox may be older: a report is written as a whole.
-            newest = self._reports.get(report.crash, report)
-            written = await write(newest, CRASH_TTL_S)
+        async def write_report(crash: str) -> Result[Any]:
+            own = self._own.get(crash)
+            if own is None:
+                return Ok(None)
+            report = self._report(crash, own)
+            written = await write(report, CRASH_TTL_S)
             if not isinstance(written, Err):
                 events.log(
                     events.Event.CRASH_REPORTED,
-                    crash=newest.crash,
-                    requests=len(newest.suspects),
-                    cleared=len(newest.cleared),
+                    crash=crash,
+                    requests=len(report.suspects),
+                    cleared=len(report.cleared),
                 )
             return written
 
-        async def write_clearance(report: CrashReport) -> Result[Any]:
-            if not self._evidence.lacks_clearance(report):
+        async def write_clearance(crash: str) -> Result[Any]:
+            own = self._own.get(crash)
+            if own is None:
+                return Ok(None)
+            if not self._evidence.lacks_clearance(self._report(crash, own)):
                 return Ok(None)
-            return await write_report(report)
+            return await write_report(crash)
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._clearances.run, write_clearance)
--- a/src/mustardfront/programs/gateway/_forward.py
+++ b/src/mustardfront/programs/gateway/_forward.py
@@ -12,6 +12,7 @@
 from mustardfront import events
 from mustardfront.codes import Code, Outcome
 from mustardfront.coordination.limits import RetryBudget
+from mustardfront.coordination.quarantine import LOGGED_NAMES_MAX
 from mustardfront.coordination.traffic import (
     RateLimitNotice,
     Upstream,
@@ -240,7 +241,8 @@
         request_id=req.request_id,
         upstream=upstream.instance,
         group=upstream.group,
-        shared_parts=req.content.parts,
+        shared_parts=req.content.parts[-LOGGED_NAMES_MAX:],
+        part_count=len(req.content.parts),
         stream_events=event_count,
         elapsed_ms=round(elapsed_s * 1000),
         listens=listens,
--- a/src/mustardfront/programs/gateway/_outbox.py
+++ b/src/mustardfront/programs/gateway/_outbox.py
@@ -56,8 +56,14 @@
             for key, pending in tuple(self._pending.items()):
                 written = await write(pending.message)
                 if isinstance(written, Err):
+                    # The others get their turn first: the store may refuse this one.
+                    self._move_to_end(key)
                     self._wakeup.set()
                     await trio.sleep(RETRY_S)
                     break
                 if self._pending.get(key) is pending:
                     del self._pending[key]
+
+    def _move_to_end(self, key: str) -> None:
+        if key in self._pending:
+            self._pending[key] = self._pending.pop(key)
--- a/src/mustardfront/programs/gateway/_request.py
+++ b/src/mustardfront/programs/gateway/_request.py
@@ -33,6 +33,9 @@
         b"content-length",
     }
 )
+# Bound the work and the memory for one request whose prompt lists very many parts.
+SHARED_PARTS_MAX: Final = 2_048
+PART_ID_MAX_CHARS: Final = 64
 # Applies when the deadline header is missing or not a number.
 _DEADLINE_DEFAULT_MS: Final = 30_000.0
 
@@ -184,10 +187,19 @@
 
 
 def _shared_parts(value: bytes) -> tuple[str, ...]:
-    """Return the IDs of all parts but the last, which is the request's own."""
+    """Return the IDs of all parts but the last, which is the request's own.
+
+    Of very many parts these are the last ones, which fewer requests share.
+    """
     parts = value.decode("latin-1").split(",")[:-1]
-    ids = (part.partition(":")[0].strip() for part in parts)
-    return tuple(dict.fromkeys(part_id for part_id in ids if part_id))
+    ids = (part.partition(":")[0].strip() for part in parts[-SHARED_PARTS_MAX:])
+    return tuple(dict.fromkeys(_short_id(part_id) for part_id in ids if part_id))
+
+
+def _short_id(part_id: str) -> str:
+    if len(part_id) <= PART_ID_MAX_CHARS:
+        return part_id
+    return xxhash.xxh3_128_hexdigest(part_id.encode())
 
 
 def _forwarded_headers(
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -14,9 +16,18 @@
 )
 from mustardfront.coordination.quarantine._evidence import (
     CRASHES_MAX,
+    NAMES_MAX,
     PARTS_MAX,
+    SUSPECTS_PER_CRASH_MAX,
+)
+from mustardfront.coordination.quarantine._inference import (
     SEPARATE_CRASH_S,
+    Crash,
+    Presence,
+    explain,
+    may_be_held,
 )
+from mustardfront.coordination.quarantine._reports import REPORT_NAMES_MAX, bounded
 
 
 class Clock:
@@ -277,3 +288,121 @@
         else:
             evidence.record_success(request)
     assert crashes <= 5
+
+
+def documents(count: int, parts: int) -> list[RequestContent]:
+    """Return one request about each of ``count`` documents of ``parts`` parts."""
+    return [
+        content(f"r{number}", *(f"d{number}-{part}" for part in range(parts)))
+        for number in range(count)
+    ]
+
+
+def seconds_after_two_crashes(parts: int) -> float:
+    """Return the time that two crashes and the output after them take."""
+    evidence = CrashEvidence(Clock())
+    for one in documents(10, parts):
+        evidence.record_success(one)
+    began = time.process_time()
+    for name in ("c1", "c2"):
+        evidence.record_crash(crash(name, *documents(10, parts)))
+        evidence.held()
+    for one in documents(10, parts):
+        evidence.record_success(one)
+        evidence.held()
+    return time.process_time() - began
+
+
+def test_long_prompts_at_two_crashes_take_linear_time():
+    """Guards against an entry that stands still for seconds after two crashes.
+
+    It answers nobody meanwhile, whatever their service.
+    """
+    seconds_after_two_crashes(10)
+    assert seconds_after_two_crashes(800) < 8 * seconds_after_two_crashes(200) + 0.01
+
+
+def test_names_that_count_are_bounded():
+    """Guards against crashes beside huge prompts that fill the memory of entries."""
+    evidence = CrashEvidence(Clock())
+    for number in range(40):
+        suspects = [
+            content(f"r{number}-{one}", *(f"{number}-{one}-{n}" for n in range(400)))
+            for one in range(SUSPECTS_PER_CRASH_MAX)
+        ]
+        evidence.record_crash(crash(f"c{number}", *suspects))
+        assert evidence._name_count <= NAMES_MAX
+        assert sum(map(len, evidence._counted.values())) == evidence._name_count
+    # The newest crash counts in any case.
+    assert evidence.knows("c39")
+
+
+def test_report_of_more_suspects_than_count_is_new_once():
+    """Guards against peers that pass such a report on to each other for ever."""
+    evidence = CrashEvidence(Clock())
+    report = crash("c1", *documents(SUSPECTS_PER_CRASH_MAX + 5, 2))
+    assert evidence.record_crash(report)
+    assert not evidence.record_crash(report)
+
+
+def test_report_is_bounded_and_keeps_what_is_not_known_to_be_sound():
+    """Guards against a report that the store refuses for its length."""
+    suspects = documents(30, 400)
+    sound = tuple(part for one in suspects for part in one.parts[:300])
+    report = bounded(CrashReport("c1", "e1", tuple(suspects), sound))
+    names = sum(len(one.parts) for one in report.suspects) + len(report.sound_parts)
+    assert names <= REPORT_NAMES_MAX
+    assert all(
+        one.parts == before.parts[300:]
+        for one, before in zip(report.suspects, suspects, strict=True)
+    )
+
+
+def explain_by_ranking_all(candidates, known) -> set[str]:
+    """Rank all parts anew after each one: slower, and plainly what is meant."""
+    held: set[str] = set()
+    left = {part: dict(presences) for part, presences in candidates.items()}
+
+    def rank(part):
+        presences = left[part].values()
+        position = max((one.position for one in presences), default=0)
+        return len(presences), part not in known, position, part
+
+    while left:
+        best = max(left, key=rank)
+        explained = left.pop(best)
+        if not may_be_held(best, explained.values(), best in known):
+            continue
+        held.add(best)
+        for presences in left.values():
+            for number in explained:
+                presences.pop(number, None)
+    return held
+
+
+@settings(derandomize=True)
+@given(
+    st.lists(
+        st.lists(
+            st.tuples(
+                st.sampled_from("abcdef"),
+                st.integers(0, 3),
+                st.sampled_from(["r1", "r2"]),
+            ),
+            max_size=6,
+        ),
+        max_size=7,
+    ),
+    st.sets(st.sampled_from("abcdef")),
+)
+def test_parts_that_explain_crashes_are_those_of_ranking_all_anew(crashes, known):
+    """Guards against a faster inference that holds other parts."""
+    candidates: dict[str, dict[int, Presence]] = {}
+    for number, present in enumerate(crashes):
+        one = Crash(f"c{number}", number, 2.0 * number, 0.0)
+        for part, position, fingerprint in present:
+            presences = candidates.setdefault(part, {})
+            presence = presences.setdefault(number, Presence(one, fingerprint))
+            presence.is_shared |= presence.fingerprint != fingerprint
+            presence.position = max(presence.position, position)
+    assert explain(candidates, known) == explain_by_ranking_all(candidates, known)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -116,7 +116,7 @@
         assert response.status == 200
         # An entry that starts now has the reports of this one, and nothing else.
         evidence = TrafficState(trio.current_time).crash_evidence
-        reports = gw.frontend.forwarder.crash_reporter._reports.values()
+        reports = gw.frontend.forwarder.crash_reporter.reports()
         assert len(reports) == 2
         for report in reports:
             evidence.record_crash(report)
