Apply changes of a large fleet in linear time

- Each announcement looked through all upstreams for earlier ones at its address, and each change rebuilt the index.
Now a batch of changes rebuilds it once, and addresses are compared in one pass.
- Each change of an entry ranked all entries for all limits that upstreams name.
Now the sharing entries are kept, and only those that join are ranked.
- A request compared all upstreams of its service.
Beyond 256 it compares the entry's own ones and 64 others; up to 256 nothing changes.
- Reports of crashes are applied one at a time, with a checkpoint after each.

--- a/src/mustardfront/coordination/traffic/__init__.py
+++ b/src/mustardfront/coordination/traffic/__init__.py
@@ -16,6 +16,7 @@
 from mustardfront.coordination.traffic._placing import (
     assign_upstreams,
     choose_upstream,
+    compared_upstreams,
     expected_foreign_load,
     selectable_upstreams,
 )
@@ -49,6 +50,7 @@
     "UpstreamGone",
     "assign_upstreams",
     "choose_upstream",
+    "compared_upstreams",
     "expected_foreign_load",
     "follow",
     "keep_announced",
--- a/src/mustardfront/coordination/traffic/_feed.py
+++ b/src/mustardfront/coordination/traffic/_feed.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+from dataclasses import dataclass, field, replace
 from types import MappingProxyType
 from typing import Final, Protocol, TypeAlias
 
@@ -143,8 +143,8 @@
     def replace(self, snapshot: Snapshot, keep_missing: bool) -> None:
         """Apply a snapshot; ``keep_missing`` marks missing announcements as lapsed."""
 
-    def apply(self, change: Change, keep_missing: bool) -> None:
-        """Apply one change."""
+    def apply_all(self, changes: Iterable[Change], keep_missing: bool) -> None:
+        """Apply changes, oldest first."""
 
     def drop_lapsed(self) -> None:
         """Remove what was kept without an announcement."""
@@ -237,7 +237,9 @@
             self._begin_grace()
         self._era = result.value.era
         self._revision = result.value.revision
-        self._view.replace(result.value, self._in_grace())
+        # First, so that no request is sent before they are known.
+        await self._apply_crashes(result.value.crashes)
+        self._view.replace(replace(result.value, crashes=()), self._in_grace())
         self._view.confirm(began_s)
         self.in_step = True
 
@@ -254,10 +256,22 @@
             self.in_step = False
             return
         self._revision = max(self._revision, result.value.revision)
-        for change in result.value.changes:
-            self._view.apply(change, self._in_grace())
+        changes = result.value.changes
+        crashes = [one for one in changes if isinstance(one, CrashReport)]
+        others = [one for one in changes if not isinstance(one, CrashReport)]
+        self._view.apply_all(others, self._in_grace())
         self._view.confirm(self._confirmed_s(began_s, result.value))
         self._end_grace()
+        await self._apply_crashes(crashes)
+
+    async def _apply_crashes(self, crashes: Iterable[CrashReport]) -> None:
+        """Apply reports of crashes, and let other tasks run after each of them.
+
+        One may name thousands of prompt parts, and a failed rack brings hundreds.
+        """
+        for report in crashes:
+            self._view.apply_all((report,), self._in_grace())
+            await trio.lowlevel.checkpoint()
 
     def _confirmed_s(self, began_s: float, changes: Changes) -> float:
         """Return when the view was complete, by a watch that began at ``began_s``.
--- a/src/mustardfront/coordination/traffic/_placing.py
+++ b/src/mustardfront/coordination/traffic/_placing.py
@@ -19,6 +19,10 @@
 # entry that gets more than its share of the callers would overestimate it, and would
 # overload its own upstreams.
 FOREIGN_LOAD_MAX_RATIO: Final = 0.5
+# Beyond this number of upstreams a request compares the entry's own ones with a random
+# sample of the others: comparing all of 2,800 takes 10 ms of processor time.
+COMPARED_MAX: Final = 256
+SAMPLE_SIZE: Final = 64
 
 
 def assign_upstreams(
@@ -39,6 +43,27 @@
     )
 
 
+def compared_upstreams(
+    known: Sequence[Upstream],
+    own: frozenset[str],
+    sample: Callable[[Sequence[Upstream], int], Iterable[Upstream]],
+    get: Callable[[str], Upstream | None],
+) -> Sequence[Upstream]:
+    """Return the upstreams that a request compares, of all that accept requests.
+
+    These are all of them, or of very many the entry's ``own`` ones, which
+    ``get(instance)`` finds, and a ``sample(known, size)``.
+    """
+    if len(known) <= COMPARED_MAX:
+        return known
+    found = {one.instance: one for one in sample(known, SAMPLE_SIZE)}
+    for instance in own:
+        upstream = get(instance)
+        if upstream is not None:
+            found[instance] = upstream
+    return tuple(found.values())
+
+
 def selectable_upstreams(
     upstreams: Iterable[Upstream],
     excluded: frozenset[str],
--- a/src/mustardfront/coordination/traffic/_rate_limits.py
+++ b/src/mustardfront/coordination/traffic/_rate_limits.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
@@ -63,15 +64,26 @@
         self._entries: frozenset[str] = frozenset((entry,))
         self._limits: dict[str, _Allowance] = {}
         self._shares: dict[str, float] = {}
+        # The entries that share each limit, those with the lowest ranks first.
+        self._sharing: dict[str, list[_Sharer]] = {}
         # The latest notices in the store.
         self._announced: dict[str, RateLimitNotice] = {}
 
     def set_entries(self, entries: Iterable[str]) -> None:
         """Divide the limits among these entries and this one from now on."""
         new = frozenset((*entries, self._entry))
-        if new != self._entries:
-            self._settle()
-            self._entries = new
+        if new == self._entries:
+            return
+        self._settle()
+        joined, left = new - self._entries, self._entries - new
+        self._entries = new
+        for incarnation, sharing in tuple(self._sharing.items()):
+            if any(one.entry in left for one in sharing):
+                del self._sharing[incarnation]
+                continue
+            ranked = (_Sharer(_rank(incarnation, one), one) for one in joined)
+            kept = heapq.nsmallest(len(sharing), (*sharing, *ranked))
+            self._sharing[incarnation] = kept
 
     def record(self, notice: RateLimitNotice, source: str) -> bool:
         """Take over a limit; return whether it changed."""
@@ -81,12 +93,14 @@
         self._shares.pop(notice.incarnation, None)
         if notice.per_s is None:
             del self._limits[notice.incarnation]
+            self._sharing.pop(notice.incarnation, None)
         else:
             # Nothing at once: the requests of the last seconds were sent without limit.
             tokens = known.tokens if known else 0.0
             allowance = _Allowance(notice.per_s, tokens, self._clock())
             self._limits[notice.incarnation] = allowance
         while len(self._limits) > UPSTREAMS_MAX:
+            self._sharing.pop(next(iter(self._limits)), None)
             del self._limits[next(iter(self._limits))]
         events.log(
             events.Event.RATE_LIMIT_CHANGED,
@@ -160,6 +174,7 @@
         self._limits.pop(incarnation, None)
         self._announced.pop(incarnation, None)
         self._shares.pop(incarnation, None)
+        self._sharing.pop(incarnation, None)
 
     def _settle(self) -> None:
         """Account for the time so far at the present shares, and drop these."""
@@ -175,9 +190,13 @@
             return 0.0
         if incarnation not in self._shares:
             per_s = max(TRIAL_PER_S, known.named_per_s)
-            self._shares[incarnation] = entry_share_per_s(
-                incarnation, per_s, self._entries, self._entry
-            )
+            count = sharing_count(per_s, len(self._entries))
+            sharing = self._sharing.get(incarnation, [])
+            if len(sharing) < count:
+                sharing = sharing_entries(incarnation, count, self._entries)
+            self._sharing[incarnation] = sharing = sharing[:count]
+            is_sharing = any(one.entry == self._entry for one in sharing)
+            self._shares[incarnation] = per_s / count if is_sharing else 0.0
         return self._shares[incarnation]
 
 
@@ -189,9 +208,30 @@
     All entries that know the same ``entries`` agree. A change of one entry changes at
     most one of those that share a limit.
     """
-    count = min(len(entries), max(SHARING_ENTRIES_MIN, int(per_s)))
-    sharing = sorted(entries, key=lambda one: _rank(incarnation, one))[:count]
-    return per_s / count if entry in sharing else 0.0
+    count = sharing_count(per_s, len(entries))
+    sharing = sharing_entries(incarnation, count, entries)
+    return per_s / count if any(one.entry == entry for one in sharing) else 0.0
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class _Sharer:
+    """An entry that shares a limit; the lowest ranks do."""
+
+    rank: int
+    entry: str
+
+
+def sharing_count(per_s: float, entry_count: int) -> int:
+    """Return how many entries share a limit."""
+    return min(entry_count, max(SHARING_ENTRIES_MIN, int(per_s)))
+
+
+def sharing_entries(
+    incarnation: str, count: int, entries: Collection[str]
+) -> list[_Sharer]:
+    """Return the entries that share a limit, lowest rank first."""
+    ranked = (_Sharer(_rank(incarnation, one), one) for one in entries)
+    return heapq.nsmallest(count, ranked)
 
 
 def _rank(incarnation: str, entry: str) -> int:
--- a/src/mustardfront/coordination/traffic/_upstreams.py
+++ b/src/mustardfront/coordination/traffic/_upstreams.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Final
 
@@ -173,15 +173,29 @@
 
     def apply(self, change: Change, keep_missing: bool) -> None:
         """Apply one change."""
+        self.apply_all((change,), keep_missing)
+
+    def apply_all(self, changes: Iterable[Change], keep_missing: bool) -> None:
+        """Apply changes, oldest first.
+
+        The index is rebuilt once for all of them: a fleet that restarts changes
+        thousands of upstreams between two watches.
+        """
+        changed = [self._apply(change, keep_missing) for change in changes]
+        if any(changed):
+            self._rebuild_index()
+
+    def _apply(self, change: Change, keep_missing: bool) -> bool:
+        """Apply one change; return whether the index must be rebuilt."""
         if isinstance(change, SlowUpstream):
             self._apply_slowness(change)
-            return
+            return False
         if isinstance(change, CrashReport):
             self.crash_evidence.record_crash(change)
-            return
+            return False
         if isinstance(change, RateLimitNotice):
             self.rate_limits.record_announced(change)
-            return
+            return False
         if isinstance(change, TrafficConfig):
             self._apply_config(change)
         elif isinstance(change, EntryChange):
@@ -195,7 +209,7 @@
             self._remove_upstream(change.instance, keep_missing)
         else:
             self._apply_announcement(change)
-        self._rebuild_index()
+        return True
 
     def _set_entries(self, versions: dict[str, int]) -> None:
         self._entry_versions = versions
@@ -354,7 +368,6 @@
             return
         changed = known.announced.state is not announced.state
         known.announced, known.lapsed = announced, False
-        self._remove_predecessors(announced)
         if changed:
             events.log(
                 events.Event.UPSTREAM_STATE,
@@ -362,12 +375,16 @@
                 state=announced.state.value,
             )
 
-    def _remove_predecessors(self, announced: UpstreamInstance) -> None:
-        """Remove earlier incarnations at the same address; they have ended."""
-        for other in tuple(self._upstreams.values()):
-            earlier = other.announced.born_ms < announced.born_ms
-            if earlier and other.announced.address == announced.address:
-                self._remove_upstream(other.instance, keep=False)
+    def _remove_predecessors(self) -> None:
+        """Remove earlier incarnations at the address of a later one."""
+        newest_ms: dict[tuple[str, int], int] = {}
+        for one in self._upstreams.values():
+            announced = one.announced
+            known_ms = newest_ms.get(announced.address, announced.born_ms)
+            newest_ms[announced.address] = max(known_ms, announced.born_ms)
+        for one in tuple(self._upstreams.values()):
+            if one.announced.born_ms < newest_ms[one.announced.address]:
+                self._remove_upstream(one.instance, keep=False)
 
     def _remove_upstream(self, instance: str, keep: bool) -> None:
         known = self._upstreams.get(instance)
@@ -382,6 +399,7 @@
         events.log(events.Event.UPSTREAM_LEAVING, upstream=instance, reason="gone")
 
     def _rebuild_index(self) -> None:
+        self._remove_predecessors()
         by_service: dict[str, list[Upstream]] = {}
         for upstream in self._upstreams.values():
             if upstream.takes_work:
--- a/src/mustardfront/programs/gateway/_choice.py
+++ b/src/mustardfront/programs/gateway/_choice.py
@@ -20,6 +20,7 @@
     TrafficState,
     Upstream,
     choose_upstream,
+    compared_upstreams,
     expected_foreign_load,
     selectable_upstreams,
 )
@@ -111,7 +112,12 @@
     Upstreams that were tried count only if there are no others. Infinite if this entry
     has no share of any upstream's limit.
     """
-    known = fwd.state.upstreams_of(req.service)
+    known = compared_upstreams(
+        fwd.state.upstreams_of(req.service),
+        fwd.own_upstreams(req.service),
+        random.sample,
+        fwd.state.get,
+    )
     untried = [one for one in known if one.instance not in retry.excluded]
     return min(map(fwd.state.wait_s, untried or known), default=0.0)
 
@@ -138,8 +144,9 @@
 ) -> Upstream | None:
     """Return the available upstream with the least expected load; log the choice."""
     known = fwd.state.upstreams_of(req.service)
-    candidates = selectable_upstreams(known, retry.excluded, fwd.state)
     own = fwd.own_upstreams(req.service)
+    compared = compared_upstreams(known, own, random.sample, fwd.state.get)
+    candidates = selectable_upstreams(compared, retry.excluded, fwd.state)
     foreign_load = expected_foreign_load(known, len(fwd.state.entries))
     groups = frozenset(one.group for one in candidates)
     ratios = {group: fwd.pace.slow_ratio(group, groups) for group in groups}
--- a/tests/test_traffic_feed.py
+++ b/tests/test_traffic_feed.py
@@ -44,8 +44,8 @@
     def replace(self, snapshot, keep_missing):
         pass
 
-    def apply(self, change, keep_missing):
-        self.seen.append((trio.current_time(), change.name))
+    def apply_all(self, changes, keep_missing):
+        self.seen += ((trio.current_time(), change.name) for change in changes)
 
     def drop_lapsed(self):
         pass
