Keep an upstream when another record names its address

What callers saw: another writer puts three entries into the service discovery, with the addresses of the workers of a service and a service that no configuration names.

Cause: any announcement with a later start removed all earlier ones at its address. The worker was known again only once its own entry changed, which a heartbeat does not do.

Change: a later announcement hides the earlier one instead, as long as it is there itself. One of another service hides it only while the configuration names that service and it takes requests, because then the address answers with 421 and the wrong one of the two is forgotten. The index is computed from all announcements, so nothing has to be put back.

--- a/src/mustardfront/coordination/traffic/_upstreams.py
+++ b/src/mustardfront/coordination/traffic/_upstreams.py
@@ -41,7 +41,7 @@
 
     ``blocked_until`` is the end of its exclusion after failures, ``refused_until`` of
     the pause after a refusal. ``leaving`` is set once its responses say that it is
-    about to end.
+    about to end, ``superseded`` while a later incarnation is announced at its address.
     """
 
     announced: UpstreamInstance
@@ -51,6 +51,7 @@
     refused_until: float = 0.0
     lapsed: bool = False
     leaving: bool = False
+    superseded: bool = False
 
     @property
     def instance(self) -> str:
@@ -375,16 +376,35 @@
                 state=announced.state.value,
             )
 
-    def _remove_predecessors(self) -> None:
-        """Remove earlier incarnations at the address of a later one."""
-        newest_ms: dict[tuple[str, int], int] = {}
+    def _superseded(self) -> set[str]:
+        """Return the incarnations at whose address a later one is announced.
+
+        They have ended, most likely. They stay known: the later announcement may be
+        another writer's, which names no upstream, and then an answer of the address
+        tells (``remove_incarnation``). One of another service counts only while it
+        takes requests, since otherwise no answer could tell.
+        """
+        by_address: dict[tuple[str, int], list[Upstream]] = {}
         for one in self._upstreams.values():
-            announced = one.announced
-            known_ms = newest_ms.get(announced.address, announced.born_ms)
-            newest_ms[announced.address] = max(known_ms, announced.born_ms)
-        for one in tuple(self._upstreams.values()):
-            if one.announced.born_ms < newest_ms[one.announced.address]:
-                self._remove_upstream(one.instance, keep=False)
+            by_address.setdefault(one.announced.address, []).append(one)
+        return {
+            one.instance
+            for found in by_address.values()
+            if len(found) > 1
+            for one in found
+            if any(self._supersedes(later, one) for later in found)
+        }
+
+    def _supersedes(self, later: Upstream, other: Upstream) -> bool:
+        if later.announced.born_ms <= other.announced.born_ms:
+            return False
+        if later.announced.service == other.announced.service:
+            return True
+        return later.takes_work and self._is_named(later.announced.service)
+
+    def _is_named(self, service: str) -> bool:
+        """Return whether the configuration names a service; true before the first."""
+        return self.routes is None or service in self.routes.config.services
 
     def _remove_upstream(self, instance: str, keep: bool) -> None:
         known = self._upstreams.get(instance)
@@ -398,11 +418,22 @@
         self.rate_limits.forget(known.incarnation)
         events.log(events.Event.UPSTREAM_LEAVING, upstream=instance, reason="gone")
 
+    def _set_superseded(self, superseded: set[str]) -> None:
+        for upstream in self._upstreams.values():
+            is_superseded = upstream.instance in superseded
+            if is_superseded == upstream.superseded:
+                continue
+            upstream.superseded = is_superseded
+            state = "superseded" if is_superseded else upstream.announced.state.value
+            events.log(
+                events.Event.UPSTREAM_STATE, upstream=upstream.instance, state=state
+            )
+
     def _rebuild_index(self) -> None:
-        self._remove_predecessors()
+        self._set_superseded(self._superseded())
         by_service: dict[str, list[Upstream]] = {}
         for upstream in self._upstreams.values():
-            if upstream.takes_work:
+            if upstream.takes_work and not upstream.superseded:
                 by_service.setdefault(upstream.announced.service, []).append(upstream)
         self._by_service = {name: tuple(found) for name, found in by_service.items()}
         for listener in self._listeners:
