--- a/src/mustardfront/programs/agent/_main.py
+++ b/src/mustardfront/programs/agent/_main.py
@@ -264,13 +264,28 @@
     def _upstreams_by_rank(
         self, snapshot: Snapshot, seat: RankPosition
     ) -> dict[int, UpstreamInstance]:
-        return {
-            upstream.seat.rank: upstream
-            for upstream in snapshot.upstreams.values()
-            if upstream.seat is not None
-            and upstream.seat.group == seat.group
-            and upstream.service == self._settings.service
-        }
+        """Return the ranks of a group; of several for one rank the likeliest.
+
+        A rank that crashed stays listed for some seconds beside its successor.
+        """
+        found: dict[int, UpstreamInstance] = {}
+
+        def likelihood(upstream: UpstreamInstance) -> tuple[bool, int]:
+            is_same_epoch = upstream.seat is not None and (
+                upstream.seat.epoch == seat.epoch
+            )
+            return is_same_epoch, upstream.born_ms
+
+        for upstream in snapshot.upstreams.values():
+            own = upstream.seat
+            if own is None or upstream.service != self._settings.service:
+                continue
+            if (own.group, own.size) != (seat.group, seat.size):
+                continue
+            known = found.get(own.rank)
+            if known is None or likelihood(upstream) > likelihood(known):
+                found[own.rank] = upstream
+        return found
 
     def _peer_address(self, upstream: UpstreamInstance) -> str:
         return f"{upstream.address[0]}:{self._settings.peer_port}"
