Answer all requests of a planned stop before the entry exits

Cause: until new connections end, a stopping entry took every request, however long its route may take, and the HTTP server ended what was open by closing the connections.

Change: a stopping entry takes a request if its caller's limit ends before the entry does, or if twice the usual time of its route does; of an unknown route, if it may be repeated. Others are refused as not run with a Retry-After of 0.05 s, since another entry is there at once. What is still open 0.1 s before connections are closed gets an answer: 503 if it was never sent, else 502; a stream that has begun ends early. The decision is in coordination/traffic/_draining.py.

--- a/src/mustardfront/coordination/traffic/__init__.py
+++ b/src/mustardfront/coordination/traffic/__init__.py
@@ -1,6 +1,7 @@
 """Configuration, upstream state and selection for entries with direct upstreams."""
 
 from mustardfront.coordination.traffic._backoff import Backoffs, parse_retry_after
+from mustardfront.coordination.traffic._draining import StopDeadline, may_finish
 from mustardfront.coordination.traffic._feed import (
     Change,
     Changes,
@@ -45,6 +46,7 @@
     "RouteTable",
     "SlowUpstream",
     "Snapshot",
+    "StopDeadline",
     "TrafficState",
     "Upstream",
     "UpstreamGone",
@@ -54,6 +56,7 @@
     "expected_foreign_load",
     "follow",
     "keep_announced",
+    "may_finish",
     "parse_rate_limit",
     "parse_retry_after",
     "pick_service",
--- a/src/mustardfront/programs/gateway/_app.py
+++ b/src/mustardfront/programs/gateway/_app.py
@@ -151,7 +151,7 @@
     """Read a request's body, as long as its caller could still get an answer."""
     names = frontend.forwarder.header_names
     limit_s = min(caller_deadline_ms(scope["headers"], names) / 1000, BODY_TIME_MAX_S)
-    with trio.move_on_after(limit_s):
+    with frontend.forwarder.stop.move_on_at(trio.current_time() + limit_s):
         return await _read_body(receive, frontend, hold)
     return Err(Code.DEADLINE_PASSED, "the caller did not send its request in time")
 
--- a/src/mustardfront/programs/gateway/_choice.py
+++ b/src/mustardfront/programs/gateway/_choice.py
@@ -17,6 +17,7 @@
     FirstEventTimes,
     GroupPace,
     RateLimitNotice,
+    StopDeadline,
     TrafficState,
     Upstream,
     choose_upstream,
@@ -50,6 +51,9 @@
     # The upstreams of a service that are assigned to this entry.
     own_upstreams: Callable[[str], frozenset[str]] = lambda service: frozenset()
     first_event_times: FirstEventTimes = field(default_factory=FirstEventTimes)
+    # Until the end of an answer, by route.
+    answer_times: FirstEventTimes = field(default_factory=FirstEventTimes)
+    stop: StopDeadline = field(default_factory=StopDeadline)
     held: HeldBytes = field(default_factory=HeldBytes)
     pace: GroupPace = field(default_factory=lambda: GroupPace(trio.current_time))
 
--- a/src/mustardfront/programs/gateway/_forward.py
+++ b/src/mustardfront/programs/gateway/_forward.py
@@ -16,6 +16,7 @@
 from mustardfront.coordination.traffic import (
     RateLimitNotice,
     Upstream,
+    may_finish,
     parse_rate_limit,
     parse_retry_after,
     selectable_upstreams,
@@ -46,6 +47,8 @@
 # Restarting upstreams and an entry that has just started need about this long
 # to become available.
 RETRY_AFTER_RESTART_S: Final = 1.2
+# Another entry is there at once.
+RETRY_AFTER_DRAINING_S: Final = 0.05
 SILENCE_POLL_S: Final = 0.1
 # Error responses are sent this long before the deadline so that callers receive them in
 # time.
@@ -77,14 +80,32 @@
     """Forward a request, send the caller a response and return the final result."""
     retry = RetryState()
     progress = StreamProgress(req.last_event_id)
-    with trio.move_on_at(req.deadline_at - _DEADLINE_MARGIN_S):
-        with fwd.held.hold_for() as hold:
-            return await _run_attempts(fwd, req, writer, retry, progress, hold)
+    if not _may_finish(fwd, req):
+        retry.code, retry.text = Code.DRAINING, "this entry stops"
+        return await _finish_with_error(writer, retry)
+    with (
+        fwd.stop.move_on_at(req.deadline_at - _DEADLINE_MARGIN_S),
+        fwd.held.hold_for() as hold,
+    ):
+        return await _run_attempts(fwd, req, writer, retry, progress, hold)
     # The error is sent outside the cancel scope: the time limit must not cut it off.
-    retry.code, retry.text = Code.DEADLINE_PASSED, "no response within the time limit"
+    if fwd.stop.left_s <= 0 and trio.current_time() < req.deadline_at:
+        retry.code, retry.text = Code.DRAINING, "this entry stopped before a response"
+    else:
+        retry.code = Code.DEADLINE_PASSED
+        retry.text = "no response within the time limit"
     return await _finish_with_error(writer, retry)
 
 
+def _may_finish(fwd: Forwarder, req: GatewayRequest) -> bool:
+    return may_finish(
+        fwd.stop.left_s,
+        req.deadline_at - trio.current_time(),
+        fwd.answer_times.usual_s(req.route.name),
+        is_repeatable=req.route.is_repeatable,
+    )
+
+
 async def _run_attempts(
     fwd: Forwarder,
     req: GatewayRequest,
@@ -174,6 +195,9 @@
         fwd.first_event_times.add(
             req.service, progress.time_to_first_event_s(started_at)
         )
+    if isinstance(result, FullResponse | Streamed):
+        elapsed_s = trio.current_time() - started_at
+        fwd.answer_times.add(req.route.name, elapsed_s)
     if isinstance(result, NotRun):
         retry.may_have_run = may_have_run_before
     if isinstance(result, FullResponse):
@@ -363,6 +387,8 @@
 
 def retry_after_s(code: Code) -> float:
     """Return the delay after which a refused caller should retry."""
+    if code is Code.DRAINING:
+        return RETRY_AFTER_DRAINING_S
     return RETRY_AFTER_RESTART_S if code in _RESTART_CODES else RETRY_AFTER_S
 
 
--- a/src/mustardfront/programs/gateway/_main.py
+++ b/src/mustardfront/programs/gateway/_main.py
@@ -18,6 +18,7 @@
 from mustardfront.coordination.traffic import (
     Feed,
     RateLimitNotice,
+    StopDeadline,
     TrafficState,
     assign_upstreams,
     follow,
@@ -58,6 +59,8 @@
 # The process exits by itself before SIGKILL: open requests are cancelled this long
 # before it, and the exit is forced half of this time before it.
 EXIT_MARGIN_S: Final = 0.8
+# Requests that are still open then get an answer this long before they are cancelled.
+ANSWER_MARGIN_S: Final = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,7 +179,9 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(sink.run)
         await nursery.start(_handle_signals, shutdown, live)
-        nursery.start_soon(_stop_after_drain, live, shutdown, sink)
+        nursery.start_soon(
+            _stop_after_drain, live, shutdown, frontend.forwarder.stop, sink
+        )
         nursery.start_soon(
             _follow_feed, settings.host, open_feed, metrics, frontend.forwarder, clock
         )
@@ -357,10 +362,12 @@
 
 
 async def _stop_after_drain(
-    live: LiveSettings, shutdown: _Shutdown, sink: LogSink
+    live: LiveSettings, shutdown: _Shutdown, stop: StopDeadline, sink: LogSink
 ) -> None:
     await shutdown.draining.wait()
     settings = live.current
+    open_s = settings.grace_s - EXIT_MARGIN_S - ANSWER_MARGIN_S
+    stop.begin(trio.current_time() + open_s)
     await trio.sleep(settings.deregister_s)
     shutdown.stopping.set()
     await trio.sleep(settings.grace_s - settings.deregister_s - EXIT_MARGIN_S / 2)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -238,12 +238,15 @@
 """
 
 
-async def http_get(port: int, path: str, key: str = "k1") -> tuple[int, bytes]:
+async def http_get(
+    port: int, path: str, key: str = "k1", wait_ms: int = 1500
+) -> tuple[int, bytes]:
     stream = await trio.open_tcp_stream("127.0.0.1", port)
     async with stream:
         await stream.send_all(
             f"GET {path} HTTP/1.1\r\nhost: shop.example\r\nconnection: close\r\n"
-            f"x-mustardfront-attempt-id: a1\r\nx-mustardfront-deadline-ms: 1500\r\n"
+            f"x-mustardfront-attempt-id: a1\r\n"
+            f"x-mustardfront-deadline-ms: {wait_ms}\r\n"
             f"authorization: Bearer {key}\r\n\r\n".encode()
         )
         data = b""
@@ -253,6 +256,16 @@
     return int(head.split()[1]), body
 
 
+async def wait_ready(port: int) -> None:
+    """Wait until an entry's readiness check succeeds."""
+    while True:
+        try:
+            if (await http_get(port, "/-/readiness"))[0] == 200:
+                return
+        except OSError:
+            await trio.sleep(0.05)
+
+
 async def test_entry_process_serves_and_drains(tmp_path):
     """Guards the entry process as the platform runs it.
 
@@ -280,12 +293,7 @@
             )
         )
         with trio.fail_after(TIMEOUT_S):
-            while True:
-                try:
-                    if (await http_get(ports["ready"], "/-/readiness"))[0] == 200:
-                        break
-                except OSError:
-                    await trio.sleep(0.05)
+            await wait_ready(ports["ready"])
             assert await http_get(ports["front"], "/get/x") == (200, b"quote")
             assert (await http_get(ports["front"], "/get/x", "other"))[0] == 401
             headers = upstream.requests[0].headers
