Ask the process itself whether an unframed answer is whole

Cause: such an answer counted as whole if something listened at the worker's address when its end was read. After a pause that may be the successor; and right after a crash the listener of the dying process, which is closed after its connections.

Change: the entry asks the worker who it is, with the instance that it expects, on a new connection (its report, which needs no slot and runs nothing). The answer is whole only if that process replies, under the same name and, where it tells its start, with the same start.

Not told apart: a process that restarts under its name and tells no start.

--- a/src/mustardfront/programs/gateway/_attempt.py
+++ b/src/mustardfront/programs/gateway/_attempt.py
@@ -20,8 +20,8 @@
 from mustardfront.coordination.traffic import Upstream
 from mustardfront.programs._head_limit import HeadLimitedBackend
 from mustardfront.programs._held import Hold
-from mustardfront.programs.gateway._crash import is_listening
 from mustardfront.programs.gateway._header_names import HeaderNames
+from mustardfront.programs.gateway._identity import still_runs
 from mustardfront.programs.gateway._reply import ResponseWriter, end_to_end_headers
 from mustardfront.programs.gateway._request import GatewayRequest, RawHeaders
 from mustardfront.programs.gateway._sse import EventSplitter
@@ -231,7 +231,7 @@
         return Failed(Code.UPSTREAM_BAD_ANSWER, "response has no seal header")
     is_end_certain = _always_true
     if not _is_framed(header_map):
-        is_end_certain = partial(_still_runs, upstream)
+        is_end_certain = partial(still_runs, header_names, upstream)
     if is_success and writer.started and not _may_be_event_stream(header_map):
         return Failed(Code.UPSTREAM_BAD_ANSWER, "resumed with another content type")
     if is_success and req.route.kind is RequestKind.STREAM:
@@ -258,11 +258,6 @@
     return True
 
 
-async def _still_runs(upstream: Upstream) -> bool:
-    """Return whether the upstream runs on; a crash also closes its connections."""
-    return await is_listening(upstream.announced.address) is not False
-
-
 def _check_refusal(
     header_names: HeaderNames,
     upstream: Upstream,
--- a/src/mustardfront/programs/gateway/_header_names.py
+++ b/src/mustardfront/programs/gateway/_header_names.py
@@ -16,7 +16,8 @@
     order, as ID:TOKENS entries separated by commas. ``rate_limit``
     is on responses of an upstream in need: the requests a second that it takes from
     all entries together, a decimal number. ``leaving`` is 1 on all responses of an
-    upstream that is about to end.
+    upstream that is about to end. ``identity_path`` is where an upstream tells about
+    its process without running a request; ``born`` in it is the process's start.
     """
 
     request_id: bytes = b"x-request-id"
@@ -34,3 +35,4 @@
     rate_limit: bytes = b"x-rate-limit"
     leaving: bytes = b"x-leaving"
     key_scheme: str = "Bearer"
+    identity_path: bytes = b"/healthz"
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -118,6 +118,20 @@
         self.requests: list[ReceivedRequest] = []
         self.closed_by_caller = trio.Event()
         self.address = ("127.0.0.1", 0)
+        # What the upstream tells about its process.
+        self.name = ""
+        self.born_ms = 0
+
+    async def tell_identity(self, request: ReceivedRequest, conn) -> bool:
+        """Answer if the request asks for the identity; return whether it does."""
+        if request.target != HeaderNames().identity_path.decode():
+            return False
+        expected = request.headers["x-expect-instance"]
+        body = b'{"born": %d}' % self.born_ms if self.born_ms else b"ok"
+        status = 421 if self.name not in ("", expected) else 200
+        name = b"x-instance: " + (self.name or expected).encode() + b"\r\n"
+        await respond(status, body, name)(request, conn)
+        return True
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
@@ -128,7 +142,7 @@
     async def _serve(self, conn: trio.SocketStream) -> None:
         async with conn:
             request = await _read_request(conn)
-            if request is None:
+            if request is None or await self.tell_identity(request, conn):
                 return
             self.requests.append(request)
             script = self.scripts[0]
@@ -370,7 +384,7 @@
     async def _serve_or_crash(self, conn: trio.SocketStream) -> None:
         async with conn:
             request = await _read_request(conn)
-            if request is None:
+            if request is None or await self.tell_identity(request, conn):
                 return
             self.requests.append(request)
             if self._deadly_part in request.headers.get("x-prompt-parts", ""):
