Take no answer without a length for whole after a restart

The sidecar's form of the fault before: an answer that is not streamed and has no length was whole unless a crash was found. After a restart the check met the new process, which counted as the one that had answered, since the attempt was not marked as having lost its connection; and a check without an answer counted as no crash.

Now the connection counts as lost at its end, and the same process must answer the check.

--- a/src/mustardfront/programs/sidecar/_health.py
+++ b/src/mustardfront/programs/sidecar/_health.py
@@ -115,15 +115,27 @@
         The connection of ``attempt`` was lost, which alone is no proof of a crash.
         """
         async with self._check_lock:
-            for _ in range(CUT_CHECKS_MAX):
-                if self._is_crashed(attempt):
-                    return True
-                result = await self._check()
-                if not result.cut:
-                    break
-                await trio.sleep(CLOSE_DETECTION_S)
+            await self._check_until_known(attempt)
             return self._is_crashed(attempt)
 
+    async def confirm_running(self, attempt: Attempt) -> bool:
+        """Return whether the process that ran ``attempt`` runs; False if unknown."""
+        async with self._check_lock:
+            result = await self._check_until_known(attempt)
+            is_same = attempt.instance == self._sidecar.instance
+            return result.alive and is_same and not self._is_crashed(attempt)
+
+    async def _check_until_known(self, attempt: Attempt) -> CheckResult:
+        result = CheckResult(False)
+        for _ in range(CUT_CHECKS_MAX):
+            if self._is_crashed(attempt):
+                break
+            result = await self._check()
+            if not result.cut:
+                break
+            await trio.sleep(CLOSE_DETECTION_S)
+        return result
+
     def _is_crashed(self, attempt: Attempt) -> bool:
         """Return whether the instance that ran ``attempt`` is known to have crashed."""
         return bool(attempt.instance) and attempt.instance == self._crashed_instance
--- a/src/mustardfront/programs/sidecar/_program.py
+++ b/src/mustardfront/programs/sidecar/_program.py
@@ -61,6 +61,7 @@
         sidecar = self._sidecar
         health = HealthChecker(sidecar, sidecar.client)
         sidecar.confirm_crash = health.confirm_crash
+        sidecar.confirm_running = health.confirm_running
         _register_gauges(process, sidecar)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._pauses.run)
--- a/src/mustardfront/programs/sidecar/_relay.py
+++ b/src/mustardfront/programs/sidecar/_relay.py
@@ -264,10 +264,15 @@
             text = f"the upstream's answer exceeds {RESPONSE_BODY_MAX_BYTES} bytes"
             return Err(Code.UPSTREAM_BAD_ANSWER, text)
         await attempt.send_body(data.value)
-    if not response.length_known and await sidecar.confirm_crash(attempt):
-        text = "the upstream crashed where an answer without a length ended"
-        return Err(Code.STREAM_CUT, text)
-    return Ok(None)
+    if response.length_known:
+        return Ok(None)
+    # A crash that is found now cut it off; so it is no answer of a later process.
+    attempt.connection_lost = True
+    is_crashed = await sidecar.confirm_crash(attempt)
+    if not is_crashed and await sidecar.confirm_running(attempt):
+        return Ok(None)
+    text = "the upstream crashed where an answer without a length ended"
+    return Err(Code.STREAM_CUT, text)
 
 
 async def _error_reply(sidecar: Sidecar, attempt: Attempt, err: Err) -> End:
--- a/src/mustardfront/programs/sidecar/_state.py
+++ b/src/mustardfront/programs/sidecar/_state.py
@@ -38,6 +38,10 @@
     return False
 
 
+async def _always_runs(_attempt: Attempt) -> bool:
+    return True
+
+
 @dataclass(eq=False)
 class Sidecar:
     """State of one upstream, its running attempts and its connections to peers."""
@@ -63,6 +67,8 @@
     # Returns whether the upstream process that ran an attempt crashed; set to
     # ``HealthChecker.confirm_crash``.
     confirm_crash: Callable[[Attempt], Awaitable[bool]] = _never_crashed
+    # Returns whether that process still runs; set to ``HealthChecker.confirm_running``.
+    confirm_running: Callable[[Attempt], Awaitable[bool]] = _always_runs
 
     def __post_init__(self) -> None:
         self.quarantine = Quarantine(trio.current_time)
--- a/tests/test_sidecar_health.py
+++ b/tests/test_sidecar_health.py
@@ -18,7 +18,7 @@
 from mustardfront.programs.sidecar._sse import EVENT_MAX_BYTES, EventParser
 from mustardfront.protocol import Started
 from mustardfront.results import Err, Ok
-from running import completion
+from running import completion, make_request
 from sidecar_fakes import (
     CONNECTION_LOST,
     CONNECTION_REFUSED,
@@ -110,6 +110,30 @@
     assert conn.sent[-1].code == code and conn.sent[-1].outcome == "unknown"
 
 
+@pytest.mark.parametrize(
+    ("checks", "code"),
+    [
+        (["i1"], Code.ANSWERED),
+        # The process was restarted before the check.
+        (["i1", "i2"], Code.UPSTREAM_CRASHED),
+        # Its connections are closed one by one, and then nothing is known.
+        (["i1", CONNECTION_LOST], Code.STREAM_CUT),
+    ],
+)
+async def test_answer_without_a_length_is_whole_only_if_its_process_runs_on(
+    autojump_clock, checks, code
+):
+    """Guards against an answer that a crash cut off and that passes for complete."""
+    sidecar, checker = await make_sidecar_with_health(
+        checks,
+        lambda call: FakeResponse([b"part"], is_event_stream=False, length_known=False),
+    )
+    sidecar.confirm_running = checker.confirm_running
+    await checker._check()
+    conn = await run(sidecar, make_request())
+    assert conn.sent[-1].code == code
+
+
 async def test_request_at_a_restarted_upstream_is_not_a_suspect(autojump_clock):
     # Guards against suspecting a request that was forwarded between a restart and the
     # health check that detects it.
