Limit the exponent of an upstream's exclusion

After 1,024 failures in a row, over an hour at one upstream, 0.4 * 2**failures raised OverflowError: each request sent there then ended with 502 and was not retried. Found by the review by reading; the new test fails on the code before with that error.

--- a/src/mustardfront/coordination/traffic/_upstreams.py
+++ b/src/mustardfront/coordination/traffic/_upstreams.py
@@ -28,6 +28,8 @@
 # It is still used when no other upstream is available.
 BLOCK_MIN_S: Final = 0.4
 BLOCK_MAX_S: Final = 4.0
+# Further failures do not lengthen the exclusion; an unlimited power would overflow.
+BLOCK_DOUBLINGS_MAX: Final = 10
 # An upstream refuses a request when it is full or its group is not open; it is
 # retried after this time.
 REFUSED_PAUSE_S: Final = 0.15
@@ -252,15 +254,16 @@
         now = self._clock()
         if now < upstream.blocked_until:
             return
-        pause_s = BLOCK_MIN_S * 2**upstream.failures_in_row
+        doublings = min(BLOCK_DOUBLINGS_MAX, upstream.failures_in_row)
+        pause_s = min(BLOCK_MAX_S, BLOCK_MIN_S * 2**doublings)
         upstream.failures_in_row += 1
-        upstream.blocked_until = now + min(BLOCK_MAX_S, pause_s)
+        upstream.blocked_until = now + pause_s
         events.log(
             events.Event.UPSTREAM_EJECTED,
             upstream=upstream.instance,
             reason=reason,
             failures=upstream.failures_in_row,
-            pause_ms=round(min(BLOCK_MAX_S, pause_s) * 1000),
+            pause_ms=round(pause_s * 1000),
         )
 
     def record_leaving(self, upstream: Upstream) -> None:
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -14,6 +14,7 @@
     RouteTable,
     Snapshot,
     TrafficState,
+    Upstream,
     UpstreamGone,
     choose_upstream,
     selectable_upstreams,
@@ -168,3 +169,14 @@
     """Guards against abandoning an upstream that is no slower than usual."""
     stream = route("/s/", RequestKind.STREAM, objective_ms=objective_ms)
     assert silence_timeout_s(stream, usual_s) == pytest.approx(wanted_s)
+
+
+def test_upstream_that_fails_for_hours_is_still_excluded():
+    """Guards against an exception, and a 502, for each request sent there."""
+    now = [0.0]
+    state = TrafficState(lambda: now[0])
+    upstream = Upstream(instance("u1", ("10.0.0.1", 80), "svc"))
+    for _ in range(3_000):
+        state.record_failure(upstream, "connect failed")
+        assert state.is_blocked(upstream)
+        now[0] = upstream.blocked_until
