--- a/src/mustardfront/programs/gateway/_main.py
+++ b/src/mustardfront/programs/gateway/_main.py
@@ -101,6 +101,14 @@
         self.current = settings
         self._read = read
 
+    def reload_if_changed(self) -> None:
+        """Read the settings again, and take them over if they differ."""
+        if self._read is None:
+            return
+        found = self._read()
+        if isinstance(found, Ok) and found.value != self.current:
+            self.reload("start")
+
     def reload(self, cause: str) -> None:
         """Read the settings again; keep those in force if they cannot be used."""
         if self._read is None:
@@ -351,6 +359,8 @@
     """Drain on SIGTERM or SIGINT; read the settings again on SIGHUP."""
     handled_signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with trio.open_signal_receiver(*handled_signals) as signals:
+        # A signal may have come while it was ignored, since the settings were read.
+        live.reload_if_changed()
         task_status.started()
         async for number in signals:
             name = signal.Signals(number).name
--- a/tests/test_gateway_settings.py
+++ b/tests/test_gateway_settings.py
@@ -67,3 +67,14 @@
     current, logged = reload_with(None)
     assert current == OLD
     assert logged == [events.Event.SETTINGS_KEPT]
+
+
+def test_change_before_the_signal_handler_is_taken_over():
+    """Guards against a SIGHUP that is ignored while the process starts."""
+    changed = replace(OLD, grace_s=5.0)
+    live = LiveSettings(OLD, lambda: Ok(changed))
+    live.reload_if_changed()
+    assert live.current == changed
+    unchanged = LiveSettings(OLD, lambda: Ok(OLD))
+    unchanged.reload_if_changed()
+    assert unchanged.current is OLD
