Leave connections to the store that may be silent, and write on a condition

Now the idle connections are closed when a call times out or loses its own, so that the next call opens a new one.

An announcement that got no answer and that the store executed later replaced the one that had been written since, and put the key under a lease that nobody renews; the other entries then divide the retry budget among too few. Own keys are now written on the condition of their revision; a refused write names the present one.

--- a/src/mustardfront/http_calls.py
+++ b/src/mustardfront/http_calls.py
@@ -89,6 +89,17 @@
     raise httpcore.ReadTimeout(f"no complete response within {limits.total_s} s")
 
 
+async def close_idle_connections(pool: httpcore.AsyncConnectionPool) -> None:
+    """Close the connections that no call uses, so that the next one opens its own.
+
+    Connections may go silent without a reset. One that has done so shows that the
+    others may have too, and each would cost another timeout.
+    """
+    for conn in pool.connections:
+        if conn.is_idle():
+            await conn.aclose()
+
+
 def check_length(size: int, limit_bytes: int) -> None:
     """Raise ``ResponseTooLongError`` if a body exceeds its limit."""
     if size > limit_bytes:
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -137,7 +137,9 @@
                 row["revision"] != self.items.get(row["key"], (b"", 0, 0))[1]
                 for row in data["expected"]
             ):
-                return 412, {}
+                rows = (row["key"] for row in data["expected"])
+                found = [self.item_json(key) for key in rows if key in self.items]
+                return 412, {"items": found}
             if any(write["lease"] not in self.leases for write in data["writes"]):
                 return 404, {}
             for write in data["writes"]:
