Try a named rate at once when an entry starts

When all entries ended and started again, those that share a rate of 0 waited 12 s before their first request, which alone tells that the rate has ended; the others send none. An entry that starts has sent nothing yet, so it may send its one request at once.

test_entry_that_starts_tries_a_named_limit_at_once fails on the code before.

--- a/src/mustardfront/coordination/traffic/_rate_limits.py
+++ b/src/mustardfront/coordination/traffic/_rate_limits.py
@@ -85,7 +85,9 @@
             kept = heapq.nsmallest(len(sharing), (*sharing, *ranked))
             self._sharing[incarnation] = kept
 
-    def record(self, notice: RateLimitNotice, source: str) -> bool:
+    def record(
+        self, notice: RateLimitNotice, source: str, *, is_start: bool = False
+    ) -> bool:
         """Take over a limit; return whether it changed."""
         known = self._limits.get(notice.incarnation)
         if _is_same(known.named_per_s if known else None, notice.per_s):
@@ -95,8 +97,9 @@
             del self._limits[notice.incarnation]
             self._sharing.pop(notice.incarnation, None)
         else:
-            # Nothing at once: the requests of the last seconds were sent without limit.
-            tokens = known.tokens if known else 0.0
+            # Nothing at once: the requests of the last seconds were sent without limit,
+            # unless this process starts and has sent none.
+            tokens = known.tokens if known else float(is_start)
             allowance = _Allowance(notice.per_s, tokens, self._clock())
             self._limits[notice.incarnation] = allowance
         while len(self._limits) > UPSTREAMS_MAX:
@@ -111,12 +114,17 @@
         )
         return True
 
-    def record_announced(self, notice: RateLimitNotice) -> None:
-        """Take over a limit that an entry announced."""
+    def record_announced(
+        self, notice: RateLimitNotice, *, is_start: bool = False
+    ) -> None:
+        """Take over a limit that an entry announced; ``is_start`` if before requests.
+
+        The limit may have ended while no entry ran to see it, and only an answer tells.
+        """
         self._announced[notice.incarnation] = notice
         while len(self._announced) > UPSTREAMS_MAX:
             del self._announced[next(iter(self._announced))]
-        self.record(notice, source="store")
+        self.record(notice, source="store", is_start=is_start)
 
     def replace_announced(self, notices: Iterable[RateLimitNotice]) -> None:
         """Take over the notices of a store that lost its last writes.
--- a/src/mustardfront/coordination/traffic/_upstreams.py
+++ b/src/mustardfront/coordination/traffic/_upstreams.py
@@ -157,13 +157,14 @@
         self._slowness = {one.address: one.slowness for one in snapshot.slow}
         for report in snapshot.crashes:
             self.crash_evidence.record_crash(report)
+        is_start = self._era is None
         is_restored = self._era not in (None, snapshot.era)
         self._era = snapshot.era
         if is_restored:
             self.rate_limits.replace_announced(snapshot.rate_limits)
         else:
             for notice in snapshot.rate_limits:
-                self.rate_limits.record_announced(notice)
+                self.rate_limits.record_announced(notice, is_start=is_start)
         for announced in snapshot.upstreams.values():
             if not (is_restored and self._ended.was_removed(announced)):
                 self._apply_announcement(announced)
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -164,3 +164,20 @@
         incarnation = gw.state.get("u1").incarnation
         await send_request(gw, "/get/x")
         assert gw.state.rate_limits.named(incarnation).per_s is None
+
+
+def test_entry_that_starts_tries_a_named_limit_at_once():
+    """Guards against a service that stays refused after all entries were restarted.
+
+    Its upstreams may take requests again, and no entry was there to see it.
+    """
+    state = TrafficState(lambda: 0.0, "e0")
+    notice = RateLimitNotice("u1.0", 0.0)
+    snapshot = Snapshot(1, None, {}, {"e0": 1}, rate_limits=(notice,))
+    state.replace(snapshot, keep_missing=False)
+    assert state.rate_limits.wait_s("u1.0") == 0.0
+    state.rate_limits.take("u1.0")
+    assert state.rate_limits.wait_s("u1.0") > 0.0
+    # One that ran on has sent requests without the limit until now.
+    state.apply(RateLimitNotice("u2.0", 0.0), keep_missing=False)
+    assert state.rate_limits.wait_s("u2.0") > 0.0
