--- a/src/mustardfront/coordination/traffic/_rate_limits.py
+++ b/src/mustardfront/coordination/traffic/_rate_limits.py
@@ -97,9 +97,11 @@
             del self._limits[notice.incarnation]
             self._sharing.pop(notice.incarnation, None)
         else:
-            # Nothing at once: the requests of the last seconds were sent without limit,
-            # unless this process starts and has sent none.
-            tokens = known.tokens if known else float(is_start)
+            # Nothing at once: the requests of the last seconds were sent without limit.
+            # A process that starts has sent none, and tries a rate that would make it
+            # wait for long.
+            is_trial = is_start and notice.per_s < TRIAL_PER_S
+            tokens = known.tokens if known else float(is_trial)
             allowance = _Allowance(notice.per_s, tokens, self._clock())
             self._limits[notice.incarnation] = allowance
         while len(self._limits) > UPSTREAMS_MAX:
