Hold no request for crashes at which none was known before

The quarantine of sidecars and entries had the fault of the gateway's: two upstreams of one rack that crash with the same call in flight counted as two crashes of it, at sidecars that knew nothing of each other, and it was refused for ten minutes, by processes that start later too. Reports now name the fingerprints that no earlier crash was known of; a request is held if at least one of its crashes was of a run that was already suspect. A request that crashes one upstream after the other is held at the second crash, as before; one that its caller sends twice at once may crash a third upstream. Reports without the field count as before.

--- a/src/mustardfront/coordination/quarantine/_quarantine.py
+++ b/src/mustardfront/coordination/quarantine/_quarantine.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 from typing import Final, TypeAlias
 
@@ -23,9 +23,11 @@
     """Crashes of one fingerprint.
 
     ``disproved`` are the crashes that no longer count since the request completed.
+    ``first`` are those of runs that began before any other crash of it was known.
     """
 
     crashes: set[Crash] = field(default_factory=set)
+    first: set[Crash] = field(default_factory=set)
     disproved: set[Crash] = field(default_factory=set)
     last_crash_s: float = 0.0
 
@@ -43,16 +45,28 @@
         self._records: dict[bytes, _CrashRecord] = {}
 
     def record_crash(
-        self, upstream: str, instance: str, fingerprints: Iterable[bytes]
+        self,
+        upstream: str,
+        instance: str,
+        fingerprints: Iterable[bytes],
+        unsuspected: Collection[bytes] = (),
     ) -> bool:
-        """Count a crash against ``fingerprints``; return whether any count was new."""
+        """Count a crash against ``fingerprints``; return whether any count was new.
+
+        ``unsuspected`` are those that no crash was known of when they ran. Upstreams of
+        one rack crash at once, with whatever runs there; so such crashes alone hold
+        nothing, however many they are.
+        """
         crash = (upstream, instance)
         counted = [
-            self._count_crash(crash, fingerprint) for fingerprint in fingerprints
+            self._count_crash(crash, fingerprint, fingerprint in unsuspected)
+            for fingerprint in fingerprints
         ]
         return any(counted)
 
-    def _count_crash(self, crash: Crash, fingerprint: bytes) -> bool:
+    def _count_crash(
+        self, crash: Crash, fingerprint: bytes, is_unsuspected: bool
+    ) -> bool:
         record = self._unexpired_record(fingerprint)
         if record is None:
             record = _CrashRecord()
@@ -62,10 +76,12 @@
         self._records.pop(fingerprint, None)
         self._records[fingerprint] = record
         record.crashes.add(crash)
+        if is_unsuspected:
+            record.first.add(crash)
         record.last_crash_s = self._clock()
         while len(self._records) > FINGERPRINTS_MAX:
             del self._records[next(iter(self._records))]
-        held = len(record.crashes) >= CRASHES_TO_HOLD
+        held = _holds(record)
         events.log(
             events.Event.REQUEST_HELD if held else events.Event.CRASH_SUSPECTED,
             fingerprint=fingerprint.hex(),
@@ -82,7 +98,15 @@
 
     def is_held(self, fingerprint: bytes) -> bool:
         """Return whether a request must be refused because of its crashes."""
-        return self.crashes_of(fingerprint) >= CRASHES_TO_HOLD
+        record = self._unexpired_record(fingerprint)
+        return record is not None and _holds(record)
+
+    def unsuspected_at(
+        self, crash: Crash, fingerprints: Iterable[bytes]
+    ) -> tuple[bytes, ...]:
+        """Return the fingerprints that no crash was known of at ``crash``."""
+        records = ((one, self._unexpired_record(one)) for one in fingerprints)
+        return tuple(one for one, found in records if found and crash in found.first)
 
     def clear_crashes(self, fingerprint: bytes) -> None:
         """Clear the crashes of a request that completed, unless it is held.
@@ -91,7 +115,7 @@
         run of it did. Late reports of the cleared crashes do not count again.
         """
         record = self._unexpired_record(fingerprint)
-        if record is None or len(record.crashes) >= CRASHES_TO_HOLD:
+        if record is None or _holds(record):
             return
         record.disproved |= record.crashes
         record.crashes.clear()
@@ -113,3 +137,8 @@
             del self._records[fingerprint]
             return None
         return record
+
+
+def _holds(record: _CrashRecord) -> bool:
+    is_repeated = bool(record.crashes - record.first)
+    return len(record.crashes) >= CRASHES_TO_HOLD and is_repeated
--- a/src/mustardfront/programs/entry/_control.py
+++ b/src/mustardfront/programs/entry/_control.py
@@ -40,7 +40,10 @@
                 table.mark_leaving(message.upstream or conn.remote.upstream)
         elif isinstance(message, CrashReport):
             is_new = quarantine.record_crash(
-                message.upstream, message.instance, message.fingerprints
+                message.upstream,
+                message.instance,
+                message.fingerprints,
+                message.unsuspected,
             )
             if record_suspects(evidence, message) or is_new:
                 # Forwarded once, for entries that have no link to that sidecar.
--- a/src/mustardfront/programs/sidecar/_health.py
+++ b/src/mustardfront/programs/sidecar/_health.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 import msgspec
@@ -232,9 +232,20 @@
             sidecar.crash_evidence, sidecar.upstream, instance, suspects, waiting
         )
         record_suspects(sidecar.crash_evidence, report)
-        sidecar.quarantine.record_crash(sidecar.upstream, instance, suspects)
+        ran_as_suspect = {
+            attempt.req.fingerprint for attempt in affected if attempt.req.suspect
+        }
+        unsuspected = tuple(
+            fingerprint
+            for fingerprint in suspects
+            if fingerprint not in ran_as_suspect
+            and not sidecar.quarantine.crashes_of(fingerprint)
+        )
+        sidecar.quarantine.record_crash(
+            sidecar.upstream, instance, suspects, unsuspected
+        )
         if suspects or report.suspects:
-            sidecar.hub.broadcast(report)
+            sidecar.hub.broadcast(replace(report, unsuspected=unsuspected))
 
     def _abort_retryable(self, text: str) -> None:
         """Abort idempotent requests, which can be retried at another upstream.
--- a/src/mustardfront/programs/sidecar/_peers.py
+++ b/src/mustardfront/programs/sidecar/_peers.py
@@ -122,7 +122,10 @@
             return False
         # Only new reports are forwarded, so that none circulates for ever.
         is_new = sidecar.quarantine.record_crash(
-            message.upstream, message.instance, message.fingerprints
+            message.upstream,
+            message.instance,
+            message.fingerprints,
+            message.unsuspected,
         )
         if record_suspects(sidecar.crash_evidence, message) or is_new:
             sidecar.hub.broadcast(message)
@@ -136,11 +139,10 @@
     await conn.send(sidecar.load_report())
     if sidecar.draining:
         await conn.send(Leaving(sidecar.upstream))
-    for (
-        upstream,
-        instance,
-    ), fingerprints in sidecar.quarantine.unexpired_crashes().items():
-        await conn.send(CrashReport(upstream, instance, fingerprints))
+    for crash, fingerprints in sidecar.quarantine.unexpired_crashes().items():
+        unsuspected = sidecar.quarantine.unsuspected_at(crash, fingerprints)
+        report = CrashReport(*crash, fingerprints, unsuspected=unsuspected)
+        await conn.send(report)
     for report in suspect_reports(sidecar.crash_evidence):
         await conn.send(report)
 
--- a/src/mustardfront/protocol/_codec.py
+++ b/src/mustardfront/protocol/_codec.py
@@ -44,7 +44,9 @@
 _CHUNKS_TAG = "chunks"
 # List fields, which need a conversion of their own: name-value pairs and bytes.
 _PAIR_FIELDS = frozenset({"headers"})
-_LIST_FIELDS = frozenset({"fingerprints", "suspects", "suspect_parts", "sound_parts"})
+_LIST_FIELDS = frozenset(
+    {"fingerprints", "suspects", "suspect_parts", "sound_parts", "unsuspected"}
+)
 # Message types whose data is compressed from this size on. Uncompressed, the maps and
 # counts of a group of 32 ranks would occupy a 4 Mbit/s link for half a second.
 _COMPRESSIBLE_TYPES = frozenset({Order, OrderReply})
--- a/src/mustardfront/protocol/_messages.py
+++ b/src/mustardfront/protocol/_messages.py
@@ -162,7 +162,8 @@
 
     ``suspects`` are the fingerprints of the requests that had no output yet, and
     ``suspect_parts`` the part of each one's prompt. ``sound_parts`` are those that had
-    produced output since the crash before.
+    produced output since the crash before. ``unsuspected`` are the ``fingerprints``
+    that no earlier crash was known of.
     """
 
     upstream: str
@@ -171,6 +172,7 @@
     suspects: tuple[bytes, ...] = ()
     suspect_parts: tuple[bytes, ...] = ()
     sound_parts: tuple[bytes, ...] = ()
+    unsuspected: tuple[bytes, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/mustardfront/protocol/messages.capnp
+++ b/src/mustardfront/protocol/messages.capnp
@@ -60,7 +60,7 @@
 struct Credit { stream @0 :UInt64; chunks @1 :UInt32; }
 struct LoadReport { upstream @0 :Text; inFlight @1 :UInt32; queued @2 :UInt32; limit @3 :UInt32; state @4 :Text; latencyMs @5 :Float32; }
 struct Leaving { upstream @0 :Text; }
-struct CrashReport { upstream @0 :Text; instance @1 :Text; fingerprints @2 :List(Data); suspects @3 :List(Data); suspectParts @4 :List(Data); soundParts @5 :List(Data); }
+struct CrashReport { upstream @0 :Text; instance @1 :Text; fingerprints @2 :List(Data); suspects @3 :List(Data); suspectParts @4 :List(Data); soundParts @5 :List(Data); unsuspected @6 :List(Data); }
 struct ConfigOffer { version @0 :UInt64; }
 struct ConfigPull { version @0 :UInt64; }
 struct ConfigPush { version @0 :UInt64; data @1 :Data; }
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -94,6 +94,7 @@
         End(1, 1000, "answered", 8),
         CrashReport("u", "i", (b"\x01" * 16, b"")),
         CrashReport("u", "i", (), (b"f", b"g"), (b"p", b"q"), (b"p",)),
+        CrashReport("u", "i", (b"f", b"g"), unsuspected=(b"g",)),
         Ping(1, 2),
     ],
 )
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -65,6 +65,25 @@
     assert not quarantine.is_held(b"a") and not quarantine.unexpired_crashes()
 
 
+def test_crashes_of_one_moment_hold_no_request_and_its_run_clears_them():
+    """Guards against ten minutes of refusals after a rack failed."""
+    quarantine = Quarantine(Clock())
+    for upstream in ("u1", "u2", "u3"):
+        quarantine.record_crash(upstream, "i1", [b"a"], [b"a"])
+    assert quarantine.crashes_of(b"a") == 3
+    assert not quarantine.is_held(b"a")
+    # A process that starts gets them as they were.
+    started = Quarantine(Clock())
+    for crash, ran in quarantine.unexpired_crashes().items():
+        started.record_crash(*crash, ran, quarantine.unsuspected_at(crash, ran))
+    assert not started.is_held(b"a")
+    started.clear_crashes(b"a")
+    assert started.crashes_of(b"a") == 0
+    # It ran as a suspect, and crashed another upstream.
+    quarantine.record_crash("u4", "i1", [b"a"])
+    assert quarantine.is_held(b"a")
+
+
 def test_oldest_fingerprints_are_evicted():
     # Guards against unbounded memory for fingerprints.
     quarantine = Quarantine(Clock())
