--- a/src/mustardfront/coordination/traffic/__init__.py
+++ b/src/mustardfront/coordination/traffic/__init__.py
@@ -31,7 +31,8 @@
     FirstEventTimes,
     silence_timeout_s,
 )
-from mustardfront.coordination.traffic._upstreams import TrafficState, Upstream
+from mustardfront.coordination.traffic._upstream import Upstream
+from mustardfront.coordination.traffic._upstreams import TrafficState
 
 __all__ = [
     "Backoffs",
--- a/src/mustardfront/coordination/traffic/_placing.py
+++ b/src/mustardfront/coordination/traffic/_placing.py
@@ -13,7 +13,8 @@
 from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import Final
 
-from mustardfront.coordination.traffic._upstreams import TrafficState, Upstream
+from mustardfront.coordination.traffic._upstream import Upstream
+from mustardfront.coordination.traffic._upstreams import TrafficState
 
 # The load expected from other entries is at most this share of an upstream's slots. An
 # entry that gets more than its share of the callers would overestimate it, and would
--- a/src/mustardfront/coordination/traffic/_upstreams.py
+++ b/src/mustardfront/coordination/traffic/_upstreams.py
@@ -4,7 +4,6 @@
 
 import time
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from typing import Final
 
 import trio
@@ -22,6 +21,7 @@
 )
 from mustardfront.coordination.traffic._rate_limits import RateLimitNotice, RateLimits
 from mustardfront.coordination.traffic._routes import RouteTable
+from mustardfront.coordination.traffic._upstream import Upstream, superseded_upstreams
 from mustardfront.state import TrafficConfig, UpstreamInstance, UpstreamState
 
 # A failed upstream is excluded for this time, doubled with each consecutive failure.
@@ -37,48 +37,6 @@
 GROUP_PAUSE_S: Final = 0.4
 
 
-@dataclass(slots=True)
-class Upstream:
-    """An upstream with this entry's view of its load and health.
-
-    ``blocked_until`` is the end of its exclusion after failures, ``refused_until`` of
-    the pause after a refusal. ``leaving`` is set once its responses say that it is
-    about to end, ``superseded`` while a later incarnation is announced at its address.
-    """
-
-    announced: UpstreamInstance
-    in_flight: int = 0
-    failures_in_row: int = 0
-    blocked_until: float = 0.0
-    refused_until: float = 0.0
-    lapsed: bool = False
-    leaving: bool = False
-    superseded: bool = False
-
-    @property
-    def instance(self) -> str:
-        """Return the name of the incarnation."""
-        return self.announced.instance
-
-    @property
-    def incarnation(self) -> str:
-        """Return a name that no other process of an upstream ever has."""
-        return f"{self.announced.instance}.{self.announced.born_ms}"
-
-    @property
-    def takes_work(self) -> bool:
-        """Return whether the upstream accepts new requests."""
-        seat = self.announced.seat
-        is_open = seat is None or seat.is_open
-        is_ready = self.announced.state is UpstreamState.READY
-        return is_open and is_ready and not self.leaving
-
-    @property
-    def group(self) -> str:
-        """Return the name of its lock-step group, or ``""``."""
-        return self.announced.seat.group if self.announced.seat else ""
-
-
 class TrafficState:
     """Configuration and upstreams in force at an entry, and the age of this view.
 
@@ -381,34 +339,8 @@
             )
 
     def _superseded(self) -> set[str]:
-        """Return the incarnations at whose address a later one is announced.
-
-        They have ended, most likely. They stay known: the later announcement may be
-        another writer's, which names no upstream, and then an answer of the address
-        tells (``remove_incarnation``). One of another service counts only while it
-        takes requests, since otherwise no answer could tell.
-        """
-        by_address: dict[tuple[str, int], list[Upstream]] = {}
-        for one in self._upstreams.values():
-            by_address.setdefault(one.announced.address, []).append(one)
-        return {
-            one.instance
-            for found in by_address.values()
-            if len(found) > 1
-            for one in found
-            if any(self._supersedes(later, one) for later in found)
-        }
-
-    def _supersedes(self, later: Upstream, other: Upstream) -> bool:
-        if later.announced.born_ms <= other.announced.born_ms:
-            return False
-        if later.announced.service == other.announced.service:
-            return True
-        return later.takes_work and self._is_named(later.announced.service)
-
-    def _is_named(self, service: str) -> bool:
-        """Return whether the configuration names a service; true before the first."""
-        return self.routes is None or service in self.routes.config.services
+        named = self.routes.config.services if self.routes else None
+        return superseded_upstreams(self._upstreams.values(), named)
 
     def _remove_upstream(self, instance: str, keep: bool) -> None:
         known = self._upstreams.get(instance)
