--- a/src/mustardfront/programs/gateway/_feedback.py
+++ b/src/mustardfront/programs/gateway/_feedback.py
@@ -45,6 +45,7 @@
     status: int,
     headers: Mapping[bytes, bytes],
 ) -> None:
+    """Take over the time in which an upstream that refused wants no requests."""
     delay_s = parse_retry_after(headers.get(b"retry-after", b""))
     if status not in _RETRY_LATER_STATUSES or delay_s is None:
         return
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-import os
 import signal
-import sys
-from functools import partial
 
 import pytest
 import trio
@@ -14,11 +11,10 @@
 from mustardfront.coordination.traffic import may_finish
 from platform_fakes import FakeStore, operator_config, running_store, worker_record
 from test_platform import (
-    ROOT,
-    SETTINGS_TOML,
     TIMEOUT_S,
     free_port,
     http_get,
+    start_entry,
     wait_ready,
 )
 
@@ -31,6 +27,13 @@
     return send
 
 
+async def stop_soon(gw, upstream: FakeUpstream, after_s: float) -> None:
+    """Have a gateway end its requests some time after the first one arrived."""
+    while not upstream.requests:  # noqa: ASYNC110
+        await trio.sleep(0.01)
+    gw.frontend.forwarder.stop.begin(trio.current_time() + after_s)
+
+
 @pytest.mark.parametrize(
     ("left_s", "limit_s", "usual_s", "is_repeatable", "expected"),
     [
@@ -77,13 +80,7 @@
     """Guards against connections that end without an answer at the end of the grace."""
     upstream = FakeUpstream([answer_after(5.0)])
     async with gateway({"u1": upstream}) as gw, trio.open_nursery() as nursery:
-
-        async def stop_soon() -> None:
-            while not upstream.requests:  # noqa: ASYNC110
-                await trio.sleep(0.01)
-            gw.frontend.forwarder.stop.begin(trio.current_time() + 0.2)
-
-        nursery.start_soon(stop_soon)
+        nursery.start_soon(stop_soon, gw, upstream, 0.2)
         with trio.fail_after(1.0):
             response = await send_request(gw, target)
         assert (response.status, response.complete) == (status, True)
@@ -106,13 +103,7 @@
 
     upstream = FakeUpstream([stall])
     async with gateway({"u1": upstream}) as gw, trio.open_nursery() as nursery:
-
-        async def stop_soon() -> None:
-            while not upstream.requests:  # noqa: ASYNC110
-                await trio.sleep(0.01)
-            gw.frontend.forwarder.stop.begin(trio.current_time() + 0.3)
-
-        nursery.start_soon(stop_soon)
+        nursery.start_soon(stop_soon, gw, upstream, 0.3)
         response = await send_request(gw, "/once/x")
         assert response.status == 200 and not response.complete
 
@@ -133,18 +124,7 @@
     async with running_store(store), trio.open_nursery() as nursery:
         await nursery.start(upstream.run)
         store.put("servers/i-1", worker_record(f"127.0.0.1:{upstream.address[1]}"))
-        settings_file = tmp_path / "local.toml"
-        settings_file.write_text(SETTINGS_TOML.format(store=store.address, **ports))
-        process = await nursery.start(
-            partial(
-                trio.run_process,
-                [sys.executable, "platform/main.py", "entry"],
-                cwd=ROOT,
-                env=os.environ | {"MUSTARDFRONT_BOOT": str(settings_file)},
-                capture_stdout=True,
-                check=False,
-            )
-        )
+        process = await start_entry(nursery, tmp_path, store, ports)
         statuses: list[int] = []
 
         async def book_slowly() -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -256,6 +256,24 @@
     return int(head.split()[1]), body
 
 
+async def start_entry(
+    nursery: trio.Nursery, folder: Path, store: FakeStore, ports: dict[str, int]
+) -> trio.Process:
+    """Start an entry process with these ports; its settings go to ``folder``."""
+    settings_file = folder / "local.toml"
+    settings_file.write_text(SETTINGS_TOML.format(store=store.address, **ports))
+    return await nursery.start(
+        partial(
+            trio.run_process,
+            [sys.executable, "platform/main.py", "entry"],
+            cwd=ROOT,
+            env=os.environ | {"MUSTARDFRONT_BOOT": str(settings_file)},
+            capture_stdout=True,
+            check=False,
+        )
+    )
+
+
 async def wait_ready(port: int) -> None:
     """Wait until an entry's readiness check succeeds."""
     while True:
@@ -280,18 +298,7 @@
     async with running_store(store), trio.open_nursery() as nursery:
         await nursery.start(upstream.run)
         store.put("servers/i-1", worker_record(f"127.0.0.1:{upstream.address[1]}"))
-        settings_file = tmp_path / "local.toml"
-        settings_file.write_text(SETTINGS_TOML.format(store=store.address, **ports))
-        process = await nursery.start(
-            partial(
-                trio.run_process,
-                [sys.executable, "platform/main.py", "entry"],
-                cwd=ROOT,
-                env=os.environ | {"MUSTARDFRONT_BOOT": str(settings_file)},
-                capture_stdout=True,
-                check=False,
-            )
-        )
+        process = await start_entry(nursery, tmp_path, store, ports)
         with trio.fail_after(TIMEOUT_S):
             await wait_ready(ports["ready"])
             assert await http_get(ports["front"], "/get/x") == (200, b"quote")
