Leave silent connections to the key-value service as well

The product's client had the fault of the store's: a call that timed out on a silent connection was followed by another one on the next of eight, 2 s each. The new test fails on the code before.

--- a/src/mustardfront/coordination/kv/_client.py
+++ b/src/mustardfront/coordination/kv/_client.py
@@ -22,7 +22,13 @@
     KV_CONNECTIONS,
 )
 from mustardfront.decoding import decode_json
-from mustardfront.http_calls import CallLimits, CallResponse, call_http, check_length
+from mustardfront.http_calls import (
+    CallLimits,
+    CallResponse,
+    call_http,
+    check_length,
+    close_idle_connections,
+)
 from mustardfront.results import Err, Ok, Result
 
 _PATHS: Final = {
@@ -262,6 +268,8 @@
             httpcore.TimeoutException,
             httpcore.ProtocolError,
         ) as exc:
+            # The others may be as silent, and their calls would wait as long.
+            await close_idle_connections(self._pool)
             return Err(ambiguous_code, f"{kind}: {_describe_exception(exc)}")
         if response.status >= 400:
             return _error_from_response(kind, response, ambiguous_code)
--- a/tests/test_kv.py
+++ b/tests/test_kv.py
@@ -8,8 +8,10 @@
 import pytest
 import trio
 
+from fault_proxy import SilencingProxy
 from mustardfront.codes import Code
 from mustardfront.coordination.kv import KvClient, KvEvent, KvValue, TxnResult
+from mustardfront.coordination.kv import _client as kv_client
 from mustardfront.results import Err, Ok
 from mustardfront_standins.kv import serve_kv
 
@@ -138,3 +140,20 @@
         await kv.txn({}, {"/a": b"3"})
         await kv.get("/a")
         assert kv.restores == 1
+
+
+async def test_call_after_a_silent_one_opens_its_own_connection(monkeypatch):
+    """Guards against one timeout for each connection of the pool."""
+    limits = kv_client.CallLimits(0.3, 0.3, 1.0, kv_client.RESPONSE_MAX_BYTES)
+    monkeypatch.setattr(kv_client, "_CALL_LIMITS", limits)
+    async with running_kv() as (_, url), trio.open_nursery() as nursery:
+        proxy = SilencingProxy(url.removeprefix("http://"))
+        await nursery.start(proxy.run)
+        async with KvClient(f"http://{proxy.address}") as client:
+            async with trio.open_nursery() as calls:
+                for _ in range(4):
+                    calls.start_soon(client.get, "/k")
+            proxy.silence()
+            assert isinstance(await client.get("/k"), Err)
+            assert await client.get("/k") == Ok(None)
+        nursery.cancel_scope.cancel()
