--- a/src/mustardfront/programs/gateway/_crash.py
+++ b/src/mustardfront/programs/gateway/_crash.py
@@ -54,9 +54,11 @@
 
 @dataclass(slots=True)
 class _OwnReport:
-    """What this entry saw of a crash; ``at_s`` is when, in trio's time.
+    """What this entry knows of a crash since ``at_s``, in trio's time.
 
-    ``suspects`` are its requests there and when the last of them was sent.
+    ``noticed_s`` is when it noticed the crash itself, in Unix seconds. ``suspects`` are
+    its requests there, each with when it was last sent. ``sound`` names had output
+    before the crash, ``cleared`` ones after it.
     """
 
     at_s: float
--- a/src/mustardfront/programs/gateway/_identity.py
+++ b/src/mustardfront/programs/gateway/_identity.py
@@ -57,7 +57,7 @@
     host, port = upstream.announced.address
     origin = httpcore.Origin(b"http", host.encode(), port)
     backend = HeadLimitedBackend()
-    request = httpcore.Request(
+    req = httpcore.Request(
         b"GET",
         httpcore.URL(
             scheme=b"http",
@@ -72,22 +72,23 @@
         ],
     )
     try:
-        async with httpcore.AsyncHTTPConnection(origin, network_backend=backend) as c:
-            response = await c.handle_async_request(request)
+        conn = httpcore.AsyncHTTPConnection(origin, network_backend=backend)
+        async with conn:
+            response = await conn.handle_async_request(req)
             backend.end_head()
             headers = {name.lower(): value for name, value in response.headers}
             named = headers.get(header_names.instance, upstream.instance.encode())
             if response.status == 421 or named.decode("latin-1") != upstream.instance:
                 return False
-            return await _was_born_then(response, upstream.announced.born_ms)
+            return await _has_same_start(response, upstream.announced.born_ms)
     except httpcore.ConnectError:
         return False
     except CALL_ERRORS:
         return None
 
 
-async def _was_born_then(response: httpcore.Response, born_ms: int) -> bool:
-    """Return whether a reply names no other start; a process may reuse its name."""
+async def _has_same_start(response: httpcore.Response, born_ms: int) -> bool:
+    """Return whether a reply names no other start; a successor may have the name."""
     body = bytearray()
     async for part in response.aiter_stream():
         body += part
