--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -118,6 +118,8 @@
         self.requests: list[ReceivedRequest] = []
         self.closed_by_caller = trio.Event()
         self.address = ("127.0.0.1", 0)
+        # Announces the next incarnation, with its start time.
+        self.announce: Callable[[int], None] = lambda born_ms: None
         # What the upstream tells about its process.
         self.name = ""
         self.born_ms = 0
@@ -141,7 +143,7 @@
 
     async def _serve(self, conn: trio.SocketStream) -> None:
         async with conn:
-            request = await _read_request(conn)
+            request = await read_request(conn)
             if request is None or await self.tell_identity(request, conn):
                 return
             self.requests.append(request)
@@ -164,7 +166,7 @@
             self.closed_by_caller.set()
 
 
-async def _read_request(conn: trio.SocketStream) -> ReceivedRequest | None:
+async def read_request(conn: trio.SocketStream) -> ReceivedRequest | None:
     parser = h11.Connection(h11.SERVER)
     head: h11.Request | None = None
     body = b""
@@ -275,8 +277,7 @@
         for name, upstream in upstreams.items():
             await nursery.start(upstream.run)
             announced[name] = instance(name, upstream.address, "svc")
-            if isinstance(upstream, CrashingUpstream):
-                upstream.announce = _announcer(state, announced[name])
+            upstream.announce = _announcer(state, announced[name])
         if deep is not None:
             await nursery.start(deep.run)
             announced["deep1"] = instance("deep1", deep.address, "deep")
@@ -349,54 +350,3 @@
             return response
         else:
             return response
-
-
-class CrashingUpstream(FakeUpstream):
-    """Crashes on each request whose prompt has ``deadly_part``, before its answer.
-
-    A crash closes all connections and the listener; the upstream listens again at the
-    same address after ``restart_s``.
-    """
-
-    def __init__(self, deadly_part: str, restart_s: float = 0.4) -> None:
-        super().__init__([stream_events(3)])
-        self.crashes = 0
-        # Announces the next incarnation, with its start time.
-        self.announce: Callable[[int], None] = lambda born_ms: None
-        self._deadly_part = deadly_part
-        self._restart_s = restart_s
-        self._scope = trio.CancelScope()
-
-    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
-        port = 0
-        while True:
-            listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
-            self.address = listeners[0].socket.getsockname()
-            if not port:
-                task_status.started()
-            self.announce(self.crashes)
-            port = self.address[1]
-            with trio.CancelScope() as self._scope:
-                await trio.serve_listeners(self._serve_or_crash, listeners)
-            self.crashes += 1
-            await trio.sleep(self._restart_s)
-
-    async def _serve_or_crash(self, conn: trio.SocketStream) -> None:
-        async with conn:
-            request = await _read_request(conn)
-            if request is None or await self.tell_identity(request, conn):
-                return
-            self.requests.append(request)
-            if self._deadly_part in request.headers.get("x-prompt-parts", ""):
-                self.crash()
-                await trio.sleep_forever()
-            await self.scripts[0](request, conn)
-
-    def crash(self) -> None:
-        self._scope.cancel()
-
-    def requests_with(self, part: str) -> int:
-        return sum(
-            part in request.headers.get("x-prompt-parts", "")
-            for request in self.requests
-        )
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -6,8 +6,8 @@
 
 import trio
 
+from crashing_upstream import CrashingUpstream
 from gateway_fakes import (
-    CrashingUpstream,
     gateway,
     instance,
     respond,
--- a/tests/test_gateway_unframed.py
+++ b/tests/test_gateway_unframed.py
@@ -9,9 +9,9 @@
 import pytest
 import trio
 
+from crashing_upstream import CrashingUpstream
 from gateway_fakes import (
     SEAL,
-    CrashingUpstream,
     FakeUpstream,
     encode_events,
     gateway,
