Evacuate places, limit requests to cold upstreams, and keep requests in their regions

The warm-up rates of services and the warm-up of upstreams were decoded in part and used by nothing. The regions of routes and teams were not read, and upstreams were not told a request's priority, so batch work waited before urgent work in their queues.

Change: evacuated places leave the index from which requests, retries and resumed streams choose. A cold upstream gets requests by shares that add up to its limit, bursts included; the entry to which it is assigned has the largest. Regions bind each attempt. Upstreams are told the priority where the routes of a service differ. Known entries, health and assignment are modules of their own.

--- a/src/mustardfront/coordination/traffic/__init__.py
+++ b/src/mustardfront/coordination/traffic/__init__.py
@@ -1,7 +1,9 @@
 """Configuration, upstream state and selection for entries with direct upstreams."""
 
+from mustardfront.coordination.traffic._assignment import assign_upstreams
 from mustardfront.coordination.traffic._backoff import Backoffs, parse_retry_after
 from mustardfront.coordination.traffic._draining import StopDeadline, may_finish
+from mustardfront.coordination.traffic._evacuation import PlaceEvacuation
 from mustardfront.coordination.traffic._feed import (
     Change,
     Changes,
@@ -15,7 +17,6 @@
 )
 from mustardfront.coordination.traffic._pace import GroupPace
 from mustardfront.coordination.traffic._placing import (
-    assign_upstreams,
     choose_upstream,
     compared_upstreams,
     expected_foreign_load,
@@ -33,6 +34,7 @@
 )
 from mustardfront.coordination.traffic._upstream import Upstream
 from mustardfront.coordination.traffic._upstreams import TrafficState
+from mustardfront.coordination.traffic._warm_up import WarmUps
 
 __all__ = [
     "Backoffs",
@@ -42,6 +44,7 @@
     "Feed",
     "FirstEventTimes",
     "GroupPace",
+    "PlaceEvacuation",
     "RateLimitNotice",
     "RateLimits",
     "RouteTable",
@@ -51,6 +54,7 @@
     "TrafficState",
     "Upstream",
     "UpstreamGone",
+    "WarmUps",
     "assign_upstreams",
     "choose_upstream",
     "compared_upstreams",
--- a/src/mustardfront/coordination/traffic/_feed.py
+++ b/src/mustardfront/coordination/traffic/_feed.py
@@ -12,6 +12,7 @@
 from mustardfront import events
 from mustardfront.codes import Code
 from mustardfront.coordination.quarantine import CrashReport
+from mustardfront.coordination.traffic._evacuation import PlaceEvacuation
 from mustardfront.coordination.traffic._rate_limits import RateLimitNotice
 from mustardfront.results import Err, Result
 from mustardfront.state import LeasedKey, TrafficConfig, UpstreamInstance
@@ -56,6 +57,7 @@
     crashes: tuple[CrashReport, ...] = ()
     rate_limits: tuple[RateLimitNotice, ...] = ()
     era: int = 0
+    evacuated: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +99,7 @@
     | SlowUpstream
     | CrashReport
     | RateLimitNotice
+    | PlaceEvacuation
 )
 
 
@@ -209,6 +212,7 @@
         slow=len(snapshot.slow),
         crashes=len(snapshot.crashes),
         rate_limits=len(snapshot.rate_limits),
+        evacuated=sorted(snapshot.evacuated),
     )
 
 
--- a/src/mustardfront/coordination/traffic/_placing.py
+++ b/src/mustardfront/coordination/traffic/_placing.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Final
 
 from mustardfront.coordination.traffic._upstream import Upstream
@@ -26,24 +26,6 @@
 SAMPLE_SIZE: Final = 64
 
 
-def assign_upstreams(
-    upstreams: Iterable[Upstream], entries: Collection[str], own: str
-) -> frozenset[str]:
-    """Return the instances among ``upstreams`` that are assigned to the entry ``own``.
-
-    Neighbours by place and name are assigned to one entry. All entries that know the
-    same upstreams and entries agree on the result.
-    """
-    names = sorted({*entries, own})
-    ordered = sorted((one.announced.place, one.instance) for one in upstreams)
-    own_index, count = names.index(own), len(names)
-    return frozenset(
-        instance
-        for index, (_, instance) in enumerate(ordered)
-        if index * count // len(ordered) == own_index
-    )
-
-
 def compared_upstreams(
     known: Sequence[Upstream],
     own: frozenset[str],
--- a/src/mustardfront/coordination/traffic/_routes.py
+++ b/src/mustardfront/coordination/traffic/_routes.py
@@ -19,6 +19,14 @@
         self._by_host: dict[str, dict[str, TrafficRoute]] = {}
         for route in cfg.routes:
             self._by_host.setdefault(route.host.lower(), {})[route.prefix] = route
+        self._priorities: dict[str, set[int]] = {}
+        for route in cfg.routes:
+            for share in route.shares:
+                self._priorities.setdefault(share.service, set()).add(route.priority)
+
+    def has_priorities(self, service: str) -> bool:
+        """Return whether routes of a service differ in their priority."""
+        return len(self._priorities.get(service, ())) > 1
 
     def match(self, host: str, path: str) -> Result[TrafficRoute]:
         """Return the host's route with the longest matching prefix of ``path``.
--- a/src/mustardfront/coordination/traffic/_upstreams.py
+++ b/src/mustardfront/coordination/traffic/_upstreams.py
@@ -4,14 +4,16 @@
 
 import time
 from collections.abc import Callable, Iterable
-from typing import Final
 
 import trio
 
 from mustardfront import events
 from mustardfront.coordination.quarantine import CrashEvidence, CrashReport
+from mustardfront.coordination.traffic._assignment import assign_upstreams
 from mustardfront.coordination.traffic._backoff import Backoffs
 from mustardfront.coordination.traffic._ended import EndedUpstreams
+from mustardfront.coordination.traffic._entries import KnownEntries
+from mustardfront.coordination.traffic._evacuation import Evacuations, PlaceEvacuation
 from mustardfront.coordination.traffic._feed import (
     Change,
     EntryChange,
@@ -19,22 +21,22 @@
     Snapshot,
     UpstreamGone,
 )
+from mustardfront.coordination.traffic._health import (
+    exclude_after_failure,
+    pause_after_refusal,
+    pause_ranks,
+    reset_failures,
+)
 from mustardfront.coordination.traffic._rate_limits import RateLimitNotice, RateLimits
 from mustardfront.coordination.traffic._routes import RouteTable
 from mustardfront.coordination.traffic._upstream import Upstream, superseded_upstreams
-from mustardfront.state import TrafficConfig, UpstreamInstance, UpstreamState
-
-# A failed upstream is excluded for this time, doubled with each consecutive failure.
-# It is still used when no other upstream is available.
-BLOCK_MIN_S: Final = 0.4
-BLOCK_MAX_S: Final = 4.0
-# Further failures do not lengthen the exclusion; an unlimited power would overflow.
-BLOCK_DOUBLINGS_MAX: Final = 10
-# An upstream refuses a request when it is full or its group is not open; it is
-# retried after this time.
-REFUSED_PAUSE_S: Final = 0.15
-# All ranks of a group refuse requests when one rank is lost, so all are paused.
-GROUP_PAUSE_S: Final = 0.4
+from mustardfront.coordination.traffic._warm_up import WarmUps
+from mustardfront.state import (
+    TrafficConfig,
+    UpstreamInstance,
+    UpstreamState,
+    WarmUpLimit,
+)
 
 
 class TrafficState:
@@ -49,16 +51,17 @@
         self.configured = trio.Event()
         self._clock = clock
         self._confirmed_s: float | None = None
-        self.entries: frozenset[str] = frozenset()
-        # The configuration version that each entry was announced with, and the highest.
-        self._entry_versions: dict[str, int] = {}
-        self._entries_version = 0
-        # Those of the entries that the store does not list after an outage.
-        self._lapsed_entries: frozenset[str] = frozenset()
+        self._entry = entry
+        self._entries = KnownEntries()
+        self._evacuations = Evacuations()
         self._store_returned = trio.Event()
         self._upstreams: dict[str, Upstream] = {}
         self._ended = EndedUpstreams()
         self._by_service: dict[str, tuple[Upstream, ...]] = {}
+        # Services whose upstreams are all in evacuated places.
+        self._evacuated_services: frozenset[str] = frozenset()
+        # The upstreams of a service that are assigned to this entry.
+        self._own: dict[str, frozenset[str]] = {}
         # By address; an agent knows the upstream on its host by its address.
         self._slowness: dict[tuple[str, int], float] = {}
         self._listeners: list[Callable[[], None]] = []
@@ -67,6 +70,7 @@
         self.crash_evidence = CrashEvidence(clock, time.time)
         self.rate_limits = RateLimits(clock, entry)
         self.backoffs = Backoffs(clock)
+        self.warm_ups = WarmUps(clock, entry)
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after each change of the configuration or upstreams."""
@@ -76,6 +80,16 @@
         """Call ``listener`` after the store came back without its last writes."""
         self._restore_listeners.append(listener)
 
+    @property
+    def entries(self) -> frozenset[str]:
+        """Return the names of the entries that are announced."""
+        return self._entries.names
+
+    @property
+    def evacuated_places(self) -> frozenset[str]:
+        """Return the places whose upstreams get no requests."""
+        return self._evacuations.places
+
     @property
     def version(self) -> int:
         """Return the configuration's version; 0 before the first."""
@@ -88,7 +102,7 @@
         An entry that starts just after a restore of the store reads an older
         configuration there, until the operator has written the later one again.
         """
-        return self.version < self._entries_version
+        return self.version < self._entries.version
 
     def age_s(self) -> float:
         """Return the seconds since the view was last known to be complete."""
@@ -100,16 +114,25 @@
         """Return the service's upstreams that accept new requests."""
         return self._by_service.get(service, ())
 
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether all upstreams of a service are in evacuated places."""
+        return service in self._evacuated_services
+
+    def own_upstreams(self, service: str) -> frozenset[str]:
+        """Return the instances of a service that are assigned to this entry."""
+        if service not in self._own:
+            upstreams = self.upstreams_of(service)
+            self._own[service] = assign_upstreams(upstreams, self.entries, self._entry)
+        return self._own[service]
+
     def get(self, instance: str) -> Upstream | None:
         """Return an upstream by its instance."""
         return self._upstreams.get(instance)
 
     def replace(self, snapshot: Snapshot, keep_missing: bool) -> None:
         """Apply a snapshot; ``keep_missing`` marks missing announcements as lapsed."""
-        missing = self.entries - snapshot.entries.keys()
-        self._lapsed_entries = missing if keep_missing else frozenset()
-        kept = {name: self._entry_versions[name] for name in self._lapsed_entries}
-        self._set_entries(kept | dict(snapshot.entries))
+        self._entries.replace(snapshot.entries, keep_missing=keep_missing)
+        self._share_limits()
         if snapshot.config is not None:
             self._apply_config(snapshot.config)
         self._slowness = {one.address: one.slowness for one in snapshot.slow}
@@ -128,6 +151,10 @@
                 self._apply_announcement(announced)
         for instance in self._upstreams.keys() - snapshot.upstreams.keys():
             self._remove_upstream(instance, keep_missing)
+        taken_back = self._evacuations.replace(
+            snapshot.evacuated, keep_missing=is_restored
+        )
+        self._cool_places(taken_back)
         self._rebuild_index()
         if is_restored:
             for listener in self._restore_listeners:
@@ -161,34 +188,25 @@
         if isinstance(change, TrafficConfig):
             self._apply_config(change)
         elif isinstance(change, EntryChange):
-            versions = dict(self._entry_versions)
-            versions.pop(change.name, None)
-            if not change.is_gone:
-                versions[change.name] = change.config_version
-            self._lapsed_entries -= {change.name}
-            self._set_entries(versions)
+            self._entries.apply(change)
+            self._share_limits()
+        elif isinstance(change, PlaceEvacuation):
+            self._cool_places(self._evacuations.apply(change))
         elif isinstance(change, UpstreamGone):
             self._remove_upstream(change.instance, keep_missing)
         else:
             self._apply_announcement(change)
         return True
 
-    def _set_entries(self, versions: dict[str, int]) -> None:
-        self._entry_versions = versions
-        self._entries_version = max(versions.values(), default=0)
-        self.entries = frozenset(versions)
-        self.rate_limits.set_entries(versions.keys())
+    def _share_limits(self) -> None:
+        self.rate_limits.set_entries(self.entries)
+        self.warm_ups.set_entries(self.entries)
 
     def drop_lapsed(self) -> None:
         """Remove what was not announced again after a store outage."""
-        self._set_entries(
-            {
-                name: version
-                for name, version in self._entry_versions.items()
-                if name not in self._lapsed_entries
-            }
-        )
-        self._lapsed_entries = frozenset()
+        self._entries.drop_lapsed()
+        self._share_limits()
+        self._cool_places(self._evacuations.drop_lapsed())
         for upstream in tuple(self._upstreams.values()):
             if upstream.lapsed:
                 self._remove_upstream(upstream.instance, keep=False)
@@ -210,20 +228,7 @@
 
     def record_failure(self, upstream: Upstream, reason: str) -> None:
         """Exclude an upstream temporarily after it failed."""
-        now = self._clock()
-        if now < upstream.blocked_until:
-            return
-        doublings = min(BLOCK_DOUBLINGS_MAX, upstream.failures_in_row)
-        pause_s = min(BLOCK_MAX_S, BLOCK_MIN_S * 2**doublings)
-        upstream.failures_in_row += 1
-        upstream.blocked_until = now + pause_s
-        events.log(
-            events.Event.UPSTREAM_EJECTED,
-            upstream=upstream.instance,
-            reason=reason,
-            failures=upstream.failures_in_row,
-            pause_ms=round(pause_s * 1000),
-        )
+        exclude_after_failure(upstream, self._clock(), reason)
 
     def record_leaving(self, upstream: Upstream) -> None:
         """Send an upstream no more requests, whatever the store announces of it."""
@@ -243,7 +248,7 @@
 
     def record_refusal(self, upstream: Upstream) -> None:
         """Pause an upstream briefly after it refused a request."""
-        upstream.refused_until = self._clock() + REFUSED_PAUSE_S
+        pause_after_refusal(upstream, self._clock())
 
     def remove_incarnation(self, upstream: Upstream) -> None:
         """Remove an incarnation after another one answered at its address."""
@@ -253,38 +258,38 @@
 
     def pause_group(self, group: str, reason: str) -> None:
         """Pause all ranks of a group that lost a rank."""
-        now = self._clock()
-        ranks = [
-            one for one in self._upstreams.values() if group and one.group == group
-        ]
-        newly_paused = [one for one in ranks if one.refused_until < now]
-        for one in ranks:
-            one.refused_until = now + GROUP_PAUSE_S
-        if newly_paused:
-            events.log(
-                events.Event.UPSTREAM_EJECTED,
-                upstream=group,
-                reason=reason,
-                failures=len(ranks),
-                pause_ms=round(GROUP_PAUSE_S * 1000),
-            )
+        ranks = (one for one in self._upstreams.values() if one.group == group)
+        pause_ranks(group, tuple(ranks) if group else (), self._clock(), reason)
 
     def wait_s(self, upstream: Upstream) -> float:
         """Return after how many seconds an upstream may get a request; 0 if now."""
+        incarnation = upstream.incarnation
+        is_own = upstream.instance in self.own_upstreams(upstream.announced.service)
         return max(
-            self.backoffs.left_s(upstream.incarnation),
-            self.rate_limits.wait_s(upstream.incarnation),
+            self.backoffs.left_s(incarnation),
+            self.rate_limits.wait_s(incarnation),
+            self.warm_ups.wait_s(incarnation, is_own=is_own),
         )
 
+    def record_sent(self, upstream: Upstream) -> None:
+        """Count a request that is about to be sent to an upstream."""
+        self.rate_limits.take(upstream.incarnation)
+        self.warm_ups.take(upstream.incarnation)
+
+    def record_down(self, upstream: Upstream) -> None:
+        """Treat an upstream that refuses connections as cold when it answers again.
+
+        Its process has ended, most likely, and the next one may have the same name.
+        """
+        self._begin_warm_up(upstream, None, "connection")
+
     def is_refusing(self, upstream: Upstream) -> bool:
         """Return whether an upstream is paused after a refusal."""
         return self._clock() < upstream.refused_until
 
     def record_success(self, upstream: Upstream) -> None:
         """Reset an upstream's consecutive failures."""
-        if upstream.failures_in_row:
-            events.log(events.Event.UPSTREAM_RETURNED, upstream=upstream.instance)
-        upstream.failures_in_row = 0
+        reset_failures(upstream)
 
     def is_blocked(self, upstream: Upstream) -> bool:
         """Return whether an upstream is excluded after failures."""
@@ -329,8 +334,12 @@
         elif announced.sequence < known.announced.sequence:
             # A restored store lists older announcements for a moment.
             return
+        is_first = known.announced is announced
+        is_news = is_first or known.announced.sequence < announced.sequence
         changed = known.announced.state is not announced.state
         known.announced, known.lapsed = announced, False
+        if is_news and announced.warmup_ms > 0:
+            self._begin_warm_up(known, announced.warmup_ms / 1000, "announcement")
         if changed:
             events.log(
                 events.Event.UPSTREAM_STATE,
@@ -338,6 +347,29 @@
                 state=announced.state.value,
             )
 
+    def _begin_warm_up(
+        self, upstream: Upstream, duration_s: float | None, source: str
+    ) -> None:
+        """Limit the requests to a cold upstream; None: for the whole warm-up."""
+        limit = self._warm_up_limit(upstream.announced.service)
+        if limit is not None:
+            self.warm_ups.begin(
+                upstream.incarnation,
+                limit.per_s,
+                limit.duration_s if duration_s is None else duration_s,
+                source,
+            )
+
+    def _warm_up_limit(self, service: str) -> WarmUpLimit | None:
+        found = self.routes.config.services.get(service) if self.routes else None
+        return found.warm_up if found is not None else None
+
+    def _cool_places(self, places: frozenset[str]) -> None:
+        """Treat the upstreams of places that were taken back as cold."""
+        for upstream in self._upstreams.values():
+            if upstream.announced.place in places:
+                self._begin_warm_up(upstream, None, "place")
+
     def _superseded(self) -> set[str]:
         named = self.routes.config.services if self.routes else None
         return superseded_upstreams(self._upstreams.values(), named)
@@ -352,6 +384,7 @@
         del self._upstreams[instance]
         self._ended.record_removed(known.announced)
         self.rate_limits.forget(known.incarnation)
+        self.warm_ups.forget(known.incarnation)
         events.log(events.Event.UPSTREAM_LEAVING, upstream=instance, reason="gone")
 
     def _set_superseded(self, superseded: set[str]) -> None:
@@ -368,9 +401,16 @@
     def _rebuild_index(self) -> None:
         self._set_superseded(self._superseded())
         by_service: dict[str, list[Upstream]] = {}
+        evacuated_services = set()
         for upstream in self._upstreams.values():
-            if upstream.takes_work and not upstream.superseded:
+            if not upstream.takes_work or upstream.superseded:
+                continue
+            if upstream.announced.place in self.evacuated_places:
+                evacuated_services.add(upstream.announced.service)
+            else:
                 by_service.setdefault(upstream.announced.service, []).append(upstream)
         self._by_service = {name: tuple(found) for name, found in by_service.items()}
+        self._evacuated_services = frozenset(evacuated_services - by_service.keys())
+        self._own.clear()
         for listener in self._listeners:
             listener()
--- a/src/mustardfront/programs/gateway/_attempt.py
+++ b/src/mustardfront/programs/gateway/_attempt.py
@@ -189,6 +189,8 @@
     ]
     if req.team:
         headers.append((header_names.team, req.team.encode()))
+    if req.urgency is not None:
+        headers.append((header_names.priority, str(req.urgency).encode()))
     if progress.last_event_id:
         headers.append((header_names.last_event_id, progress.last_event_id))
     if req.body or req.method not in (b"GET", b"HEAD"):
--- a/src/mustardfront/programs/gateway/_choice.py
+++ b/src/mustardfront/programs/gateway/_choice.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from math import isfinite
 from typing import Final
@@ -48,8 +48,8 @@
     is_view_unconfirmed: Callable[[], bool]
     crash_reporter: CrashReporter
     rate_limit_notices: Outbox[RateLimitNotice]
-    # The upstreams of a service that are assigned to this entry.
-    own_upstreams: Callable[[str], frozenset[str]] = lambda service: frozenset()
+    # The region of each place.
+    regions: Mapping[str, str] = field(default_factory=dict)
     first_event_times: FirstEventTimes = field(default_factory=FirstEventTimes)
     # Until the end of an answer, by route.
     answer_times: FirstEventTimes = field(default_factory=FirstEventTimes)
@@ -88,6 +88,8 @@
         req.deadline_at - req.arrived_at
     )
     while True:
+        if not _may_be_served(fwd, req, retry):
+            return None
         if req.api_key and fwd.is_view_unconfirmed():
             retry.code = Code.VIEW_UNCONFIRMED
             retry.text = "the configuration store is unreachable"
@@ -110,6 +112,34 @@
         await trio.sleep(UPSTREAM_POLL_S)
 
 
+def known_upstreams(fwd: Forwarder, req: GatewayRequest) -> Sequence[Upstream]:
+    """Return the upstreams that may get a request, by its service and its regions."""
+    known = fwd.state.upstreams_of(req.service)
+    if req.regions is None:
+        return known
+    return tuple(
+        one for one in known if fwd.regions.get(one.announced.place) in req.regions
+    )
+
+
+def _may_be_served(fwd: Forwarder, req: GatewayRequest, retry: RetryState) -> bool:
+    """Return whether waiting can help; if not, set the reason for the refusal."""
+    if fwd.state.is_evacuated(req.service):
+        retry.text = "all upstreams of the service are in evacuated places"
+    elif not _has_allowed_place(fwd, req):
+        retry.text = "the allowed regions have no upstream of the service"
+    else:
+        return True
+    retry.code = Code.NO_CAPABLE_UPSTREAM
+    return False
+
+
+def _has_allowed_place(fwd: Forwarder, req: GatewayRequest) -> bool:
+    """Return whether upstreams run in allowed regions, or none runs anywhere."""
+    known = fwd.state.upstreams_of(req.service)
+    return req.regions is None or not known or bool(known_upstreams(fwd, req))
+
+
 def _upstream_wait_s(fwd: Forwarder, req: GatewayRequest, retry: RetryState) -> float:
     """Return after how long an upstream wants a request; 0 if one wants it now.
 
@@ -117,8 +147,8 @@
     has no share of any upstream's limit.
     """
     known = compared_upstreams(
-        fwd.state.upstreams_of(req.service),
-        fwd.own_upstreams(req.service),
+        known_upstreams(fwd, req),
+        fwd.state.own_upstreams(req.service),
         random.sample,
         fwd.state.get,
     )
@@ -147,8 +177,8 @@
     fwd: Forwarder, req: GatewayRequest, retry: RetryState
 ) -> Upstream | None:
     """Return the available upstream with the least expected load; log the choice."""
-    known = fwd.state.upstreams_of(req.service)
-    own = fwd.own_upstreams(req.service)
+    known = known_upstreams(fwd, req)
+    own = fwd.state.own_upstreams(req.service)
     compared = compared_upstreams(known, own, random.sample, fwd.state.get)
     candidates = selectable_upstreams(compared, retry.excluded, fwd.state)
     foreign_load = expected_foreign_load(known, len(fwd.state.entries))
@@ -163,7 +193,7 @@
     )
     if chosen is None:
         return None
-    fwd.state.rate_limits.take(chosen.incarnation)
+    fwd.state.record_sent(chosen)
     events.log(
         events.Event.ROUTE_CHOSEN,
         request_id=req.request_id,
--- a/src/mustardfront/programs/gateway/_forward.py
+++ b/src/mustardfront/programs/gateway/_forward.py
@@ -31,6 +31,7 @@
 from mustardfront.programs.gateway._choice import (
     Forwarder,
     RetryState,
+    known_upstreams,
     wait_for_upstream,
 )
 from mustardfront.programs.gateway._feedback import (
@@ -222,7 +223,7 @@
             await trio.sleep(remaining_s)
             continue
         others = selectable_upstreams(
-            fwd.state.upstreams_of(req.service),
+            known_upstreams(fwd, req),
             retry.excluded | {retry.upstream},
             fwd.state,
         )
@@ -253,6 +254,8 @@
         fwd.state.remove_incarnation(upstream)
     elif isinstance(result, Failed) or result.code is Code.UPSTREAM_DOWN:
         fwd.state.record_failure(upstream, result.text)
+        if result.code is Code.UPSTREAM_DOWN:
+            fwd.state.record_down(upstream)
     else:
         fwd.state.record_refusal(upstream)
         if result.at_fault:
--- a/src/mustardfront/programs/gateway/_main.py
+++ b/src/mustardfront/programs/gateway/_main.py
@@ -5,8 +5,8 @@
 import os
 import random
 import signal
-from collections.abc import Callable
-from dataclasses import dataclass, replace
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field, replace
 from functools import partial
 from typing import Any, Final
 
@@ -20,7 +20,6 @@
     RateLimitNotice,
     StopDeadline,
     TrafficState,
-    assign_upstreams,
     follow,
     keep_announced,
 )
@@ -72,7 +71,7 @@
     Requests with a key are refused once the view of the configuration store is older
     than ``view_age_max_s`` (None: never). Within the window of the retry budget, all
     entries together may retry the share ``retry_ratio`` of a service's requests, plus
-    ``retry_extra`` requests.
+    ``retry_extra`` requests. ``regions`` are the regions of places.
     """
 
     host: str
@@ -85,6 +84,7 @@
     view_age_max_s: float | None
     retry_ratio: float
     retry_extra: float
+    regions: Mapping[str, str] = field(default_factory=dict)
 
 
 class LiveSettings:
@@ -262,16 +262,6 @@
         budget.minimum = int(live.current.retry_extra / entries)
         return budget
 
-    own: dict[str, frozenset[str]] = {}
-    # A change of entries or upstreams assigns the upstreams anew.
-    state.on_change(own.clear)
-
-    def own_upstreams(service: str) -> frozenset[str]:
-        if service not in own:
-            upstreams = state.upstreams_of(service)
-            own[service] = assign_upstreams(upstreams, state.entries, settings.host)
-        return own[service]
-
     def is_view_unconfirmed() -> bool:
         limit_s = live.current.view_age_max_s
         return limit_s is not None and state.age_s() > limit_s
@@ -291,7 +281,7 @@
             is_view_unconfirmed,
             crash_reporter,
             Outbox(lambda: random.uniform(*NOTICE_DELAY_S)),
-            own_upstreams,
+            settings.regions,
         ),
         metrics=metrics,
         is_ready=is_ready,
@@ -301,6 +291,12 @@
     )
     metrics.gauge("mustardfront_config_version", lambda: float(state.version))
     metrics.gauge("mustardfront_view_age_seconds", state.age_s)
+    metrics.gauge(
+        "mustardfront_evacuated_places", lambda: float(len(state.evacuated_places))
+    )
+    metrics.gauge(
+        "mustardfront_cold_upstreams", lambda: float(state.warm_ups.cold_count())
+    )
     metrics.gauge(
         "mustardfront_requests_in_flight", lambda: float(frontend.open_requests)
     )
--- a/src/mustardfront/programs/gateway/_request.py
+++ b/src/mustardfront/programs/gateway/_request.py
@@ -36,6 +36,8 @@
 # Bound the work and the memory for one request whose prompt lists very many parts.
 SHARED_PARTS_MAX: Final = 2_048
 PART_ID_MAX_CHARS: Final = 64
+# The least urgent; 0 is served first.
+URGENCY_MAX: Final = 9
 # Applies when the deadline header is missing or not a number.
 _DEADLINE_DEFAULT_MS: Final = 30_000.0
 
@@ -46,7 +48,9 @@
 
     ``headers`` are the headers to forward. ``deadline_at`` is the earlier of the
     caller's deadline and the route's timeout. ``api_key`` is empty for an
-    anonymous request. The token counts are 0 if the caller does not send them.
+    anonymous request. ``regions`` are those whose upstreams may get the request (None:
+    any). ``urgency`` tells upstreams its priority; None where all are equal. The token
+    counts are 0 if the caller does not send them.
     ``content`` identifies the request and its parts wherever it is sent again.
     """
 
@@ -60,6 +64,8 @@
     team: str
     api_key: str
     priority: int
+    urgency: int | None
+    regions: frozenset[str] | None
     arrived_at: float
     deadline_at: float
     last_event_id: bytes
@@ -97,6 +103,8 @@
         min(caller_deadline_ms(scope["headers"], header_names), route.value.timeout_ms)
         / 1000
     )
+    service = pick_service(route.value.shares, request_id)
+    priority = _priority(route.value, access.value)
     prompt, max_output = _token_counts(headers.get(header_names.token_counts, b""))
     return Ok(
         GatewayRequest(
@@ -106,10 +114,12 @@
             headers=_forwarded_headers(scope["headers"], header_names),
             body=body,
             route=route.value,
-            service=pick_service(route.value.shares, request_id),
+            service=service,
             team=access.value.team if access.value else "",
             api_key=key if access.value else "",
-            priority=_priority(route.value, access.value),
+            priority=priority,
+            urgency=_urgency(table, service, priority),
+            regions=_allowed_regions(route.value, access.value),
             arrived_at=arrived_at,
             deadline_at=arrived_at + limit_s,
             last_event_id=headers.get(header_names.last_event_id, b""),
@@ -147,6 +157,22 @@
     return route.priority
 
 
+def _urgency(table: RouteTable, service: str, priority: int) -> int | None:
+    """Return what to tell an upstream; None if its service's routes are all equal."""
+    if not table.has_priorities(service):
+        return None
+    return max(0, min(URGENCY_MAX, priority))
+
+
+def _allowed_regions(
+    route: TrafficRoute, access: TeamAccess | None
+) -> frozenset[str] | None:
+    """Return the regions that both the route and the team allow; None: all."""
+    limits = [route.allowed_regions, access.allowed_regions if access else frozenset()]
+    named = [regions for regions in limits if regions]
+    return frozenset.intersection(*named) if named else None
+
+
 def _request_target(scope: dict[str, Any]) -> bytes:
     target: bytes = scope["raw_path"]
     query: bytes = scope.get("query_string", b"")
--- a/src/mustardfront/state/__init__.py
+++ b/src/mustardfront/state/__init__.py
@@ -46,6 +46,7 @@
     TrafficService,
     UpstreamInstance,
     UpstreamState,
+    WarmUpLimit,
 )
 
 __all__ = [
@@ -77,6 +78,7 @@
     "Upstream",
     "UpstreamInstance",
     "UpstreamState",
+    "WarmUpLimit",
     "apply_ticket",
     "check_map",
     "config_from_bytes",
--- a/src/mustardfront/state/_traffic.py
+++ b/src/mustardfront/state/_traffic.py
@@ -31,6 +31,7 @@
     ``objective_ms`` is the target time until the response is complete or, for a stream,
     until its first event; ``gap_ms`` is the longest pause between two events.
     ``attempts_max`` limits the upstreams tried. ``priority`` 0 is served first.
+    ``allowed_regions`` are those whose upstreams may get the requests; none: any.
     """
 
     name: str
@@ -45,6 +46,7 @@
     attempts_max: int = 1
     anonymous: bool = False
     resumable: bool = False
+    allowed_regions: frozenset[str] = frozenset()
 
     @property
     def is_repeatable(self) -> bool:
@@ -72,13 +74,28 @@
     expert_share: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class WarmUpLimit:
+    """Requests a second that an upstream bears while it is cold after its start.
+
+    It is cold for ``duration_s`` seconds; ``per_s`` is for all entries together.
+    """
+
+    duration_s: float
+    per_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class TrafficService:
-    """A service; ``engine`` is None for a plain service."""
+    """A service; ``engine`` is None for a plain service.
+
+    ``warm_up`` is None where a cold upstream bears as much as a warm one.
+    """
 
     name: str
     connections_max: int
     engine: EngineModel | None = None
+    warm_up: WarmUpLimit | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,10 +109,14 @@
 
 @dataclass(frozen=True, slots=True)
 class TeamAccess:
-    """The team that a key belongs to; its priority overrides the route's."""
+    """The team that a key belongs to; its priority overrides the route's.
+
+    ``allowed_regions`` are those whose upstreams may get its requests; none: any.
+    """
 
     team: str
     priority: int | None = None
+    allowed_regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,7 +161,7 @@
 
     ``instance`` is its name; ``born_ms`` distinguishes processes that had the same
     name, ``sequence`` orders the announcements of one process. ``seat`` is None for an
-    upstream that is in no group.
+    upstream that is in no group. ``warmup_ms`` is for how long it stays cold.
     """
 
     instance: str
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -5,7 +5,7 @@
 import copy
 import json
 from base64 import b64decode, b64encode
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any
@@ -16,6 +16,8 @@
 from mustardfront.programs._http import bind_socket, serve_asgi, server_config
 from mustardfront.results import Ok
 
+WAIT_MAX_S = 10
+
 
 @dataclass
 class FakeStore:
@@ -182,6 +184,13 @@
         nursery.cancel_scope.cancel()
 
 
+async def wait_until(condition: Callable[[], bool]) -> None:
+    """Wait for a condition; fail after a time that no busy machine needs."""
+    with trio.fail_after(WAIT_MAX_S):
+        while not condition():  # noqa: ASYNC110
+            await trio.sleep(0.01)
+
+
 def worker_record(address: str, **fields: Any) -> dict[str, Any]:
     """Return a worker's announcement as the store holds it."""
     return {
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -16,7 +16,7 @@
     send_request,
 )
 from mustardfront.coordination.traffic import Snapshot, UpstreamGone, pick_service
-from mustardfront.coordination.traffic._upstreams import REFUSED_PAUSE_S
+from mustardfront.coordination.traffic._health import REFUSED_PAUSE_S
 from mustardfront.state import RankPosition, ServiceShare
 
 NOT_RUN = b"x-not-run: 1\r\n"
