Hold another rank than the coordinator's, and let its agent release the group

Cause: the coordinator held its own rank between hold and release, and only a later coordinator, after the locks had lapsed (1.5 s) and its turn had come (0.3 to 0.7 s for each rank), could release the group.

Change: the held rank is another one. Its agent gets the version, the step and the members with the order to hold, and finishes the switch itself, in the name of the coordinator's lock, once the group has stood for 0.2 s. In a held group agents have 0.2 s to answer; after that their ranks are called directly. Orders of both are equal, and the step is released only when all ranks were seen armed, as before.

The tests of maps under random faults pass unchanged.

--- a/src/mustardfront/coordination/rankmaps/__init__.py
+++ b/src/mustardfront/coordination/rankmaps/__init__.py
@@ -1,12 +1,16 @@
 """Expert maps of groups whose ranks follow timed orders and do not vote."""
 
 from mustardfront.coordination.rankmaps._coordinator import GroupCoordinator
+from mustardfront.coordination.rankmaps._guard import guard_hold
 from mustardfront.coordination.rankmaps._loads import CountDeltas, DecayedLoads
 from mustardfront.coordination.rankmaps._members import Members, SendRequests, States
 from mustardfront.coordination.rankmaps._order_handler import (
     LOCK_LEASE_S,
     ORDER_REQUEST,
     STATE_QUERY,
+    GroupMember,
+    GuardedHold,
+    HoldGuard,
     MemberState,
     OrderRequest,
     OrderResult,
@@ -60,6 +64,9 @@
     "Counts",
     "DecayedLoads",
     "GroupCoordinator",
+    "GroupMember",
+    "GuardedHold",
+    "HoldGuard",
     "MapChanges",
     "MemberState",
     "Members",
@@ -84,6 +91,7 @@
     "SwitchResult",
     "apply_changes",
     "find_changes",
+    "guard_hold",
     "is_held_or_armed",
     "layer_cost",
     "next_version",
--- a/src/mustardfront/coordination/rankmaps/_members.py
+++ b/src/mustardfront/coordination/rankmaps/_members.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Mapping
+import math
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from types import MappingProxyType
 from typing import Any, TypeAlias
@@ -10,9 +11,12 @@
 import msgspec
 import trio
 
+from mustardfront.codes import Code
 from mustardfront.coordination.rankmaps._order_handler import (
     ORDER_REQUEST,
     STATE_QUERY,
+    GroupMember,
+    HoldGuard,
     MemberState,
     OrderRequest,
     OrderResult,
@@ -41,7 +45,8 @@
     ``own_rank`` is the rank beside the coordinator, ``holder`` the name in which the
     coordinator locks ranks. ``direct_clients`` call ranks whose agent does not answer.
     No agent checks the lock for them, so they get no order unless ``is_locked`` says
-    that the coordinator's own rank is still locked.
+    that the coordinator's own rank is still locked. ``upstreams`` are the addresses of
+    the ranks themselves, ``client_of`` calls one of them.
     """
 
     group: str
@@ -53,6 +58,35 @@
         default_factory=lambda: MappingProxyType({})
     )
     is_locked: Callable[[], bool] = lambda: True
+    upstreams: Mapping[int, str] = field(default_factory=lambda: MappingProxyType({}))
+    client_of: Callable[[int], RankClient] | None = None
+
+    def hold_rank(self) -> int:
+        """Return the rank to hold, another than the own one if there is any.
+
+        Its agent can then release the group when this coordinator stops, and this
+        coordinator when that agent stops.
+        """
+        others = self.addresses.keys() - self.direct_clients.keys() - {self.own_rank}
+        after = sorted(others, key=lambda rank: (rank < self.own_rank, rank))
+        return after[0] if after else self.own_rank
+
+    def guard(self, version: int | None) -> HoldGuard | None:
+        """Return what the agent of a held rank needs; None if that is not known."""
+        if version is None or self.addresses.keys() != self.upstreams.keys():
+            return None
+        members = tuple(
+            GroupMember(rank, agent, self.upstreams[rank])
+            for rank, agent in sorted(self.addresses.items())
+        )
+        return HoldGuard(self.group, version, members)
+
+    def calling_directly(self, ranks: Iterable[int]) -> Members:
+        """Return members that call ``ranks`` without their agents, if it can."""
+        if self.client_of is None:
+            return self
+        clients = {rank: self.client_of(rank) for rank in ranks}
+        return replace(self, direct_clients={**self.direct_clients, **clients})
 
     async def with_direct_clients(
         self,
@@ -129,12 +163,18 @@
         )
 
     async def send_orders(
-        self, orders: Mapping[int, RankOrder], changes: MapChanges | None = None
+        self,
+        orders: Mapping[int, RankOrder],
+        changes: MapChanges | None = None,
+        *,
+        guard: HoldGuard | None = None,
+        patience_s: float = math.inf,
     ) -> dict[int, OrderResult]:
         """Send the ranks their orders in one batch and return the results by rank.
 
         With ``changes``, agents get these in place of the orders' layers. Ranks with
-        the same order object share one message.
+        the same order object share one message. Agents that have not answered after
+        ``patience_s`` count as silent. An order to hold has a ``guard``.
         """
         by_agent = {
             rank: order
@@ -142,15 +182,17 @@
             if rank not in self.direct_clients
         }
         messages = {
-            id(order): (ORDER_REQUEST, self._order_data(order, changes))
+            id(order): (ORDER_REQUEST, self._order_data(order, changes, guard))
             for order in by_agent.values()
         }
-        answers = await self.send_requests(
-            {
-                self.addresses[rank]: messages[id(order)]
-                for rank, order in by_agent.items()
-            }
-        )
+        requests = {
+            self.addresses[rank]: messages[id(order)]
+            for rank, order in by_agent.items()
+        }
+        answers: dict[str, Result[dict[str, Any]]] = {}
+        with trio.move_on_after(patience_s):
+            answers = await self.send_requests(requests)
+        silent: Err = Err(Code.RANK_UNREACHABLE, "the agent did not answer in time")
         results: dict[int, OrderResult] = {}
 
         async def order_directly(rank: int) -> None:
@@ -165,7 +207,8 @@
             for rank in orders.keys() - by_agent.keys():
                 nursery.start_soon(order_directly, rank)
         for rank in by_agent:
-            answer = _parse(answers[self.addresses[rank]], OrderResult)
+            reply = answers.get(self.addresses[rank], silent)
+            answer = _parse(reply, OrderResult)
             if isinstance(answer, Ok):
                 results[rank] = answer.value
             else:
@@ -173,12 +216,12 @@
         return results
 
     def _order_data(
-        self, order: RankOrder, changes: MapChanges | None
+        self, order: RankOrder, changes: MapChanges | None, guard: HoldGuard | None
     ) -> dict[str, Any]:
         if changes is not None:
             order = replace(order, layers=())
         data: dict[str, Any] = msgspec.to_builtins(
-            OrderRequest(self.holder, order, changes)
+            OrderRequest(self.holder, order, changes, guard)
         )
         return data
 
--- a/src/mustardfront/coordination/rankmaps/_order_handler.py
+++ b/src/mustardfront/coordination/rankmaps/_order_handler.py
@@ -75,16 +75,49 @@
     maps: RankMaps | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class GroupMember:
+    """A rank with the addresses (``"IP:PORT"``) of its agent and of its upstream."""
+
+    rank: int
+    agent: str
+    upstream: str
+
+
+@dataclass(frozen=True, slots=True)
+class HoldGuard:
+    """What the agent of a held rank needs to release its group by itself.
+
+    The ranks are armed for ``version`` at the held step.
+    """
+
+    group: str
+    version: int
+    members: tuple[GroupMember, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class GuardedHold:
+    """A hold of this agent's rank, by the lock of ``holder``."""
+
+    holder: str
+    epoch: int
+    step: int
+    guard: HoldGuard
+
+
 @dataclass(frozen=True, slots=True)
 class OrderRequest:
     """An order to a rank; it is refused unless ``holder`` holds the rank's lock.
 
     With ``changes`` the order has no layers: its map is the one that they result in.
+    An order to hold a step has a ``guard``; earlier versions send none.
     """
 
     holder: str
     order: RankOrder
     changes: MapChanges | None = None
+    guard: HoldGuard | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +143,8 @@
         self._checked_version: int | None = None
         self._count_deltas = CountDeltas()
         self.last_report: RankReport | None = None
+        # Called when the rank is about to be held.
+        self.on_hold: Callable[[GuardedHold], None] = lambda hold: None
         # Maps of recent orders by epoch and version, oldest first.
         self._maps: dict[tuple[int, int], tuple[LayerMap, ...]] = {}
 
@@ -205,6 +240,9 @@
             return Ok(OrderResult(OrderOutcome.MAP_UNKNOWN, None))
         if order.kind is OrderKind.PREPARE:
             await self._store_ordered_rows(order)
+        if order.kind is OrderKind.HOLD and req.guard is not None:
+            # Before the order, which may be executed without an answer.
+            self.on_hold(GuardedHold(req.holder, order.epoch, order.step, req.guard))
         outcome = OrderOutcome.UNKNOWN
         for _ in range(ORDER_TRIES):
             # The process may have been paused since the lock was checked.
--- a/src/mustardfront/coordination/rankmaps/_switch.py
+++ b/src/mustardfront/coordination/rankmaps/_switch.py
@@ -4,8 +4,11 @@
 The group is therefore held at a step first, all ranks are armed for that step, and the
 step is released only when every rank has reported that it is armed. An order that is
 executed late then either repeats an earlier one, which changes nothing, or refers to a
-step that has begun, an older version or another epoch, so that the rank refuses it. A
-coordinator that ends between two orders leaves a held group; ``_recover`` resumes it.
+step that has begun, an older version or another epoch, so that the rank refuses it.
+
+The held rank is another one than the coordinator's. Its agent knows the switch and
+finishes it when the coordinator stops (``_guard``); the coordinator calls ranks whose
+agents stop directly. What both leave, a later coordinator recovers (``_recover``).
 Specification: ``specs/timed_switch.py``.
 """
 
@@ -20,6 +23,7 @@
 
 from mustardfront import events
 from mustardfront.coordination.rankmaps._members import Members, States
+from mustardfront.coordination.rankmaps._order_handler import OrderResult
 from mustardfront.coordination.rankmaps._types import (
     ArmedSwitch,
     MapChanges,
@@ -47,6 +51,8 @@
 # The map is abandoned when ranks take this much longer than the expected loading time.
 PREPARE_SLACK_S: Final = 1.2
 HOLD_TRIES: Final = 3
+# While a group is held it serves nobody, so agents have less time to answer.
+HELD_PATIENCE_S: Final = 0.2
 # Rounds of orders in one call that arms or releases; the next poll tries again.
 ORDER_ROUNDS_MAX: Final = 40
 
@@ -125,7 +131,7 @@
         _log_map_kept(members, version, "the hold of the group was not confirmed")
         return None
     released = await finish(
-        members, epoch, ArmedSwitch(version, step), {members.own_rank: step}, sleep
+        members, epoch, ArmedSwitch(version, step), {members.hold_rank(): step}, sleep
     )
     if not released:
         return None
@@ -209,19 +215,30 @@
 async def _hold(
     members: Members, epoch: int, states: States, sleep: Sleep, steps_ahead: int
 ) -> int | None:
-    """Hold the group at a step that has not begun; return the step once confirmed."""
+    """Hold the group at a step that has not begun; return the step once confirmed.
+
+    All ranks have prepared the same map, by ``states``.
+    """
+    rank = members.hold_rank()
+    guard = members.guard(states[members.own_rank].report.prepared)
     for _ in range(HOLD_TRIES):
         latest_step = max(state.report.step for state in states.values())
         step = latest_step + steps_ahead
         hold = RankOrder(OrderKind.HOLD, epoch, step=step)
-        result = (await members.send_orders({members.own_rank: hold}))[members.own_rank]
-        if result.state is not None and result.state.report.held == step:
+        results = await members.send_orders(
+            {rank: hold}, guard=guard, patience_s=HELD_PATIENCE_S
+        )
+        result = results[rank]
+        if result.state is None:
+            # The agent may have stopped just after it gave the order.
+            members = members.calling_directly([rank])
+        elif result.state.report.held == step:
             return step
         await sleep(ORDER_RETRY_S)
         states = await members.lock_and_read()
         if not members.is_complete(states):
             return None
-        held = states[members.own_rank].report.held
+        held = states[rank].report.held
         if held is not None:
             return held if held > max(s.report.step for s in states.values()) else None
     return None
@@ -260,7 +277,10 @@
     arm = RankOrder(OrderKind.ARM, epoch, version=target.version, step=target.step)
     pending = set(members.addresses)
     for _ in range(ORDER_ROUNDS_MAX):
-        results = await members.send_orders(dict.fromkeys(pending, arm))
+        results = await members.send_orders(
+            dict.fromkeys(pending, arm), patience_s=HELD_PATIENCE_S
+        )
+        members = members.calling_directly(_silent_ranks(results))
         for rank, result in results.items():
             if result.state is None:
                 continue
@@ -295,8 +315,10 @@
             {
                 rank: RankOrder(OrderKind.RELEASE, epoch, step=step)
                 for rank, step in pending.items()
-            }
+            },
+            patience_s=HELD_PATIENCE_S,
         )
+        members = members.calling_directly(_silent_ranks(results))
         for rank, result in results.items():
             if result.state is None:
                 continue
@@ -309,6 +331,10 @@
     return False
 
 
+def _silent_ranks(results: Mapping[int, OrderResult]) -> list[int]:
+    return [rank for rank, result in results.items() if result.state is None]
+
+
 def _log_map_kept(members: Members, version: int, reason: str) -> None:
     events.log(
         events.Event.MAP_KEPT,
--- a/src/mustardfront/programs/agent/_main.py
+++ b/src/mustardfront/programs/agent/_main.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
-from typing import Final, Protocol
+from typing import Final
 
 import trio
 
@@ -15,8 +15,8 @@
 from mustardfront.coordination.rankmaps import (
     DecayedLoads,
     GroupCoordinator,
+    GuardedHold,
     Members,
-    RankClient,
     RankOrderHandler,
     RelayTree,
 )
@@ -30,10 +30,12 @@
     serve_asgi,
     server_config,
 )
+from mustardfront.programs.agent._hold_watch import HoldWatch
 from mustardfront.programs.agent._peers import AgentPeers, peer_handler
-from mustardfront.programs.agent._slow import SlownessNotices, keep_slowness_announced
+from mustardfront.programs.agent._services import AgentServices
+from mustardfront.programs.agent._slow import keep_slowness_announced
 from mustardfront.protocol import Identity, connect_peer, serve_peers
-from mustardfront.results import Err, Result
+from mustardfront.results import Err
 from mustardfront.state import RankPosition, UpstreamInstance
 
 POLL_S: Final = 0.5
@@ -60,23 +62,6 @@
     upstream: tuple[str, int]
 
 
-class SnapshotReader(Protocol):
-    """Reads the configuration and the upstreams; the snapshot may be seconds old."""
-
-    async def stale_snapshot(self) -> Result[Snapshot]:
-        """Read the latest known configuration and all upstreams."""
-
-
-@dataclass(frozen=True, slots=True)
-class AgentServices:
-    """The platform services that an agent uses."""
-
-    own_client: RankClient
-    client_of: Callable[[tuple[str, int]], RankClient]
-    snapshots: SnapshotReader
-    notices: SlownessNotices
-
-
 OpenServices = Callable[[Metrics], AbstractAsyncContextManager[AgentServices]]
 
 
@@ -132,6 +117,12 @@
         )
         events.log(events.Event.PROCESS_READY, addresses={"peer": address})
         async with peers.connections.open({}, connect_peer):
+            guard = HoldWatch(services, order_handler, peers)
+
+            def start_guard(hold: GuardedHold) -> None:
+                nursery.start_soon(guard.run, hold)
+
+            order_handler.on_hold = start_guard
             await _Candidate(settings, identity, order_handler, services, peers).run()
     return 0
 
@@ -238,6 +229,11 @@
             self._identity.instance,
             tree.send_requests,
             is_locked=lambda: self._order_handler.holder == self._identity.instance,
+            upstreams={
+                rank: f"{upstream.address[0]}:{upstream.address[1]}"
+                for rank, upstream in upstreams.items()
+            },
+            client_of=lambda rank: self._services.client_of(upstreams[rank].address),
         )
         if self._loads is None:
             self._loads = DecayedLoads(model.experts)
--- a/tests/rank_fakes.py
+++ b/tests/rank_fakes.py
@@ -6,17 +6,20 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 import trio
 
 from mustardfront.codes import Code
 from mustardfront.coordination.rankmaps import (
     ORDER_REQUEST,
+    ORDER_TIMEOUT_S,
     RELAY_REQUEST,
     STATE_QUERY,
     ArmedSwitch,
     DecayedLoads,
     GroupCoordinator,
+    GuardedHold,
     Members,
     OrderKind,
     OrderOutcome,
@@ -26,6 +29,7 @@
     RankReport,
     Relay,
     RelayTree,
+    guard_hold,
 )
 from mustardfront.protocol import Order
 from mustardfront.results import Err, Ok
@@ -273,6 +277,8 @@
         self.clients = [FakeRankClient(group, rank) for rank in range(RANKS)]
         self.handlers = [self.new_handler(rank) for rank in range(RANKS)]
         self.unreachable: set[int] = set()
+        # Agents that are frozen; their ranks go on.
+        self.silent: set[int] = set()
 
     def new_handler(self, rank: int) -> RankOrderHandler:
         return RankOrderHandler(self.clients[rank], trio.current_time)
@@ -287,8 +293,28 @@
             own_rank,
             holder,
             self._tree().send_requests if self.relayed else self.send_requests,
+            upstreams={rank: f"u{rank}" for rank in range(RANKS)},
+            client_of=self.client_of,
         )
 
+    def guard_holds(self, nursery: trio.Nursery) -> None:
+        """Let each agent that is reachable watch the holds of its rank."""
+        for rank, handler in enumerate(self.handlers):
+            handler.on_hold = partial(self._start_guard, nursery, rank)
+
+    def _start_guard(self, nursery: trio.Nursery, rank: int, hold: GuardedHold) -> None:
+        async def guard() -> None:
+            members = self.members(rank, hold.holder)
+            sleep = partial(self._sleep_unless_frozen, rank)
+            await guard_hold(hold, members, self.clients[rank], sleep)
+
+        nursery.start_soon(guard)
+
+    async def _sleep_unless_frozen(self, rank: int, delay_s: float) -> None:
+        await trio.sleep(delay_s)
+        while rank in self.silent:  # noqa: ASYNC110
+            await trio.sleep(0.01)
+
     def _tree(self) -> RelayTree:
         return RelayTree(
             [f"r{rank}" for rank in range(RANKS)], self.send_directly, direct_max=1
@@ -308,6 +334,10 @@
         async def send_request(address, kind, data):
             rank = int(address[1:])
             await trio.sleep(0.002)
+            if rank in self.silent:
+                await trio.sleep(ORDER_TIMEOUT_S)
+                answers[address] = Err(Code.RANK_UNREACHABLE, "the agent is silent")
+                return
             if rank in self.unreachable:
                 answers[address] = Err(
                     Code.RANK_UNREACHABLE, "the agent is unreachable"
--- /dev/null
+++ b/tests/test_rankmaps_guard.py
@@ -0,0 +1,134 @@
+"""Groups whose coordinator or whose held rank's agent stops during a switch of maps."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+from tests.rank_fakes import (
+    RANKS,
+    REPLICATED_LAYERS,
+    STEP_S,
+    FakeAgents,
+    FakeGroup,
+)
+
+from mustardfront.coordination.rankmaps import OrderKind, RankOrder, switch
+
+# The users' bound on how long a stopped agent may hold a group.
+HELD_MAX_S = 0.5
+FREEZE_S = 4.0
+
+
+class StandingTime:
+    """The longest time in which a group began no step."""
+
+    def __init__(self, group: FakeGroup) -> None:
+        self.group = group
+        self.longest_s = 0.0
+
+    async def run(self) -> None:
+        step, since = self.group.step, trio.current_time()
+        while True:
+            await trio.sleep(STEP_S / 5)
+            if self.group.step != step:
+                step, since = self.group.step, trio.current_time()
+            # A step of its own time is no standstill.
+            self.longest_s = max(self.longest_s, trio.current_time() - since - STEP_S)
+
+
+async def run_switch(
+    agents: FakeAgents, boundary: int, frozen: int, *, freezes_coordinator: bool
+) -> tuple[StandingTime, FakeGroup]:
+    """Switch a group from rank 0; freeze an agent after ``boundary`` applied orders.
+
+    The orders that prepare a map do not count.
+    """
+    group = agents.group
+    apply_order = group.apply_order
+    applied = 0
+    stopped = trio.CancelScope()
+
+    def apply_and_freeze(rank: int, order: RankOrder) -> bool:
+        nonlocal applied
+        done = apply_order(rank, order)
+        applied += order.kind is not OrderKind.PREPARE
+        if applied == boundary and not agents.silent:
+            agents.silent.add(frozen)
+            if freezes_coordinator:
+                stopped.cancel()
+        return done
+
+    group.apply_order = apply_and_freeze
+    standing = StandingTime(group)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(group.run)
+        agents.guard_holds(nursery)
+        await trio.sleep(0.3)
+        members = agents.members(0, "a")
+        with stopped:
+            states = await members.lock_and_read()
+            nursery.start_soon(standing.run)
+            await switch(members, states, REPLICATED_LAYERS, 0.25)
+        await trio.sleep(FREEZE_S)
+        agents.silent.clear()
+        await trio.sleep(1.0)
+        nursery.cancel_scope.cancel()
+    return standing, group
+
+
+# One hold, an order to arm for each rank, and the release.
+BOUNDARIES = range(1, RANKS + 2)
+
+
+@pytest.mark.parametrize("relayed", [False, True])
+@pytest.mark.parametrize("boundary", BOUNDARIES)
+async def test_group_goes_on_when_its_coordinator_freezes(
+    autojump_clock, boundary, relayed
+):
+    """Guards against a group that stands for as long as its coordinator is frozen."""
+    agents = FakeAgents(FakeGroup(boundary), relayed=relayed)
+    standing, group = await run_switch(agents, boundary, 0, freezes_coordinator=True)
+    assert standing.longest_s <= HELD_MAX_S
+    assert group.violations == []
+    assert all(rank.held is None for rank in group.ranks)
+    # The switch that the coordinator began is in force at all ranks.
+    assert {rank.version for rank in group.ranks} != {0}
+
+
+@pytest.mark.parametrize("frozen", range(1, RANKS))
+@pytest.mark.parametrize("boundary", BOUNDARIES)
+async def test_group_goes_on_when_another_agent_freezes(
+    autojump_clock, boundary, frozen
+):
+    """Guards against a coordinator that waits for an agent while the group stands.
+
+    Rank 1 is the one that is held; its own agent may be the frozen one.
+    """
+    agents = FakeAgents(FakeGroup(boundary))
+    standing, group = await run_switch(
+        agents, boundary, frozen, freezes_coordinator=False
+    )
+    assert standing.longest_s <= HELD_MAX_S
+    assert group.violations == []
+    assert {rank.version for rank in group.ranks} != {0}
+
+
+@pytest.mark.parametrize("seed", range(8))
+async def test_coordinator_and_guard_may_act_at_once(autojump_clock, monkeypatch, seed):
+    """Guards against two maps when a slow coordinator and the guard both finish."""
+    monkeypatch.setattr("mustardfront.coordination.rankmaps._guard.GUARD_DELAY_S", 0.0)
+    group = FakeGroup(seed)
+    group.late_ratio = 0.2
+    group.lost_ratio = 0.1
+    agents = FakeAgents(group)
+    await run_switch(agents, 99, 0, freezes_coordinator=False)
+    assert group.violations == []
+
+
+def test_rank_of_another_agent_is_held():
+    """Guards against a hold that only the coordinator itself can release."""
+    agents = FakeAgents(FakeGroup(1))
+    assert [agents.members(rank, "a").hold_rank() for rank in range(RANKS)] == [
+        *range(1, RANKS),
+        0,
+    ]
