Let requests wait for places in order of urgency, and entries report their loads

Cause: entries knew their own requests only, so upstreams were overrun while others idled, and all that waited, waited in upstreams' queues, oldest first: in a burst all kinds became late, urgent ones too, and after a stall the backlog was worked off for callers who could no longer be served in time.

Change: entries tell each other ten times a second, by datagrams, what they have in flight at each upstream; neither upstreams nor the store are asked for more. Where the routes of a service differ in priority, or one lock-step group is the whole service, requests wait in the entry while the upstreams' slots are taken: by priority, then those that can meet their objective, then the others, newest first. A quarter of the upstreams keep one slot free of the least urgent kind. Entries that wait for the same free place take it by the share of their waiting requests.

--- a/src/mustardfront/coordination/traffic/_feed.py
+++ b/src/mustardfront/coordination/traffic/_feed.py
@@ -58,6 +58,10 @@
     rate_limits: tuple[RateLimitNotice, ...] = ()
     era: int = 0
     evacuated: frozenset[str] = frozenset()
+    # Where entries take the reports of others.
+    entry_addresses: Mapping[str, tuple[str, int]] = field(
+        default_factory=lambda: MappingProxyType({})
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,11 +76,13 @@
     """Another entry, or this one, is announced or gone.
 
     ``config_version`` is the version that it had in force when it was announced.
+    ``address`` (IP, port) is where it takes the reports of other entries, if anywhere.
     """
 
     name: str
     is_gone: bool = False
     config_version: int = 0
+    address: tuple[str, int] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,7 +128,11 @@
         """Wait for changes; Err(STORE_HISTORY_GONE) when ``after`` is too old."""
 
     async def announce(
-        self, name: str, config_version: int, ttl_s: float
+        self,
+        name: str,
+        config_version: int,
+        ttl_s: float,
+        address: tuple[str, int] | None = None,
     ) -> Result[LeasedKey]:
         """Announce an entry by a key under a new lease."""
 
@@ -181,17 +191,20 @@
     name: str,
     config_version: Callable[[], int],
     sleep: Callable[[float], Awaitable[None]] = trio.sleep,
+    *,
+    address: tuple[str, int] | None = None,
 ) -> None:
     """Keep an entry announced until cancelled, so that others can count it.
 
     After a restore of the store the announcement is written again, which tells entries
     that start then the least version that the configuration must have.
-    ``sleep`` may return early to have the announcement checked at once.
+    ``sleep`` may return early to have the announcement checked at once. ``address`` is
+    where the entry takes reports of others.
     """
     announced: LeasedKey | None = None
     while True:
         if announced is None:
-            made = await feed.announce(name, config_version(), ENTRY_LEASE_S)
+            made = await feed.announce(name, config_version(), ENTRY_LEASE_S, address)
             announced = None if isinstance(made, Err) else made.value
         else:
             kept = await feed.renew_lease(announced)
--- a/src/mustardfront/coordination/traffic/_placing.py
+++ b/src/mustardfront/coordination/traffic/_placing.py
@@ -13,6 +13,8 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Final
 
+from mustardfront.coordination.traffic._admission import PlaceTurns, place_limit
+from mustardfront.coordination.traffic._peer_loads import PeerLoads
 from mustardfront.coordination.traffic._upstream import Upstream
 from mustardfront.coordination.traffic._upstreams import TrafficState
 
@@ -24,6 +26,11 @@
 # sample of the others: comparing all of 2,800 takes 10 ms of processor time.
 COMPARED_MAX: Final = 256
 SAMPLE_SIZE: Final = 64
+# Few reports say little about the entries that do not report.
+UNREPORTED_SCALE_MAX: Final = 2.0
+# Requests of other entries at one of their upstreams that reports do not name yet. With
+# fewer, entries meet at the upstreams that all see idle; with more, some stay idle.
+UNREPORTED_REQUESTS: Final = 2.0
 
 
 def compared_upstreams(
@@ -79,6 +86,52 @@
     return sum(one.in_flight for one in known) * max(1, entry_count) / len(known)
 
 
+def known_loads(
+    peers: PeerLoads, entry_count: int, own: frozenset[str]
+) -> Callable[[Upstream], float] | None:
+    """Return the load of an upstream by all entries; None if no other one reports.
+
+    Entries that do not report count as loaded as those that do. Reports are a little
+    old, and others choose at the same moment, so an upstream that is assigned to
+    another entry counts as loaded with what reports do not name yet.
+    """
+    reporting = peers.reporting_count
+    if not reporting:
+        return None
+    scale = min(UNREPORTED_SCALE_MAX, max(1.0, (entry_count - 1) / reporting))
+
+    def load(upstream: Upstream) -> float:
+        unnamed = 0.0 if upstream.instance in own else UNREPORTED_REQUESTS
+        reported = scale * peers.in_flight(upstream.key)
+        return upstream.in_flight + reported + unnamed
+
+    return load
+
+
+def with_room(
+    candidates: Iterable[Upstream],
+    peers: PeerLoads,
+    own: frozenset[str],
+    turns: PlaceTurns,
+    released: int | None,
+    *,
+    is_least_urgent: bool,
+) -> list[Upstream]:
+    """Return the candidates that have a place that this entry may take.
+
+    ``own`` are the instances assigned to this entry, ``released`` is the key of an
+    upstream that one of its requests has just left. Of the other upstreams it takes
+    places in its turns.
+    """
+    return [
+        one
+        for one in candidates
+        if one.in_flight + peers.in_flight(one.key)
+        < place_limit(one.announced.slots, one.key, is_least_urgent=is_least_urgent)
+        and (one.instance in own or one.key == released or turns.may_take(one.key))
+    ]
+
+
 def choose_upstream(
     candidates: Iterable[Upstream],
     own: frozenset[str],
@@ -86,21 +139,26 @@
     place: str,
     tie: Callable[[], float],
     slow_ratio: Callable[[Upstream], float] = lambda upstream: 1.0,
+    known_load: Callable[[Upstream], float] | None = None,
 ) -> Upstream | None:
     """Return the candidate with the least expected load per slot.
 
     ``own`` are the instances assigned to this entry; ``foreign_load`` is expected from
-    other entries at the others. ``slow_ratio`` is how much slower an upstream or its
-    group is than others; it counts as loaded in proportion. Ties go to own upstreams,
-    then to the entry's own place, then to the lowest ``tie()``.
+    other entries at the others, unless ``known_load`` tells the load of all entries.
+    ``slow_ratio`` is how much slower an upstream or its group is than others; it counts
+    as loaded in proportion. Ties go to own upstreams, then to the entry's own place,
+    then to the lowest ``tie()``.
     """
 
     def cost(upstream: Upstream) -> tuple[float, bool, bool, float]:
         slots = max(1, upstream.announced.slots)
         is_foreign = upstream.instance not in own
-        load = upstream.in_flight + 1.0
-        if is_foreign:
-            load += min(foreign_load, FOREIGN_LOAD_MAX_RATIO * slots)
+        if known_load is not None:
+            load = known_load(upstream) + 1.0
+        else:
+            load = upstream.in_flight + 1.0
+            if is_foreign:
+                load += min(foreign_load, FOREIGN_LOAD_MAX_RATIO * slots)
         load *= slow_ratio(upstream)
         return (load / slots, is_foreign, upstream.announced.place != place, tie())
 
--- a/src/mustardfront/coordination/traffic/_upstream.py
+++ b/src/mustardfront/coordination/traffic/_upstream.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from mustardfront.coordination.traffic._peer_loads import upstream_key
 from mustardfront.state import UpstreamInstance, UpstreamState
 
 
@@ -25,6 +26,11 @@
     lapsed: bool = False
     leaving: bool = False
     superseded: bool = False
+    # Its short name in reports between entries.
+    key: int = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.key = upstream_key(self.announced.instance)
 
     @property
     def instance(self) -> str:
--- a/src/mustardfront/coordination/traffic/_upstreams.py
+++ b/src/mustardfront/coordination/traffic/_upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import time
 from collections.abc import Callable, Iterable
 
@@ -9,6 +10,11 @@
 
 from mustardfront import events
 from mustardfront.coordination.quarantine import CrashEvidence, CrashReport
+from mustardfront.coordination.traffic._admission import (
+    AdmissionPolicy,
+    PlaceTurns,
+    admission_policy,
+)
 from mustardfront.coordination.traffic._assignment import assign_upstreams
 from mustardfront.coordination.traffic._backoff import Backoffs
 from mustardfront.coordination.traffic._ended import EndedUpstreams
@@ -27,6 +33,7 @@
     pause_ranks,
     reset_failures,
 )
+from mustardfront.coordination.traffic._peer_loads import PeerLoads
 from mustardfront.coordination.traffic._rate_limits import RateLimitNotice, RateLimits
 from mustardfront.coordination.traffic._routes import RouteTable
 from mustardfront.coordination.traffic._upstream import Upstream, superseded_upstreams
@@ -71,6 +78,9 @@
         self.rate_limits = RateLimits(clock, entry)
         self.backoffs = Backoffs(clock)
         self.warm_ups = WarmUps(clock, entry)
+        self.peer_loads = PeerLoads(clock)
+        self.place_turns = PlaceTurns(random.random)
+        self._policies: dict[str, AdmissionPolicy] = {}
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after each change of the configuration or upstreams."""
@@ -114,6 +124,31 @@
         """Return the service's upstreams that accept new requests."""
         return self._by_service.get(service, ())
 
+    def entry_address(self, name: str) -> tuple[str, int] | None:
+        """Return where an entry takes the reports of others; None if nowhere."""
+        return self._entries.address(name)
+
+    @property
+    def shares_loads(self) -> bool:
+        """Return whether a service needs that entries report their loads."""
+        services = self.routes.config.services if self.routes else ()
+        return any(self.admission_policy(service).is_on for service in services)
+
+    def admission_policy(self, service: str) -> AdmissionPolicy:
+        """Return whether requests of a service wait in the entries."""
+        if self.routes is None:
+            return AdmissionPolicy(False)
+        if service not in self._policies:
+            groups = {
+                one.group
+                for one in self._upstreams.values()
+                if one.announced.service == service
+            }
+            self._policies[service] = admission_policy(
+                self.routes.config, service, len(groups)
+            )
+        return self._policies[service]
+
     def is_evacuated(self, service: str) -> bool:
         """Return whether all upstreams of a service are in evacuated places."""
         return service in self._evacuated_services
@@ -125,13 +160,21 @@
             self._own[service] = assign_upstreams(upstreams, self.entries, self._entry)
         return self._own[service]
 
+    def all_upstreams(self) -> Iterable[Upstream]:
+        """Return all known upstreams, those that take no requests included."""
+        return self._upstreams.values()
+
     def get(self, instance: str) -> Upstream | None:
         """Return an upstream by its instance."""
         return self._upstreams.get(instance)
 
     def replace(self, snapshot: Snapshot, keep_missing: bool) -> None:
         """Apply a snapshot; ``keep_missing`` marks missing announcements as lapsed."""
-        self._entries.replace(snapshot.entries, keep_missing=keep_missing)
+        entries = {
+            name: EntryChange(name, False, version, snapshot.entry_addresses.get(name))
+            for name, version in snapshot.entries.items()
+        }
+        self._entries.replace(entries, keep_missing=keep_missing)
         self._share_limits()
         if snapshot.config is not None:
             self._apply_config(snapshot.config)
@@ -412,5 +455,6 @@
         self._by_service = {name: tuple(found) for name, found in by_service.items()}
         self._evacuated_services = frozenset(evacuated_services - by_service.keys())
         self._own.clear()
+        self._policies.clear()
         for listener in self._listeners:
             listener()
--- a/src/mustardfront/programs/gateway/_choice.py
+++ b/src/mustardfront/programs/gateway/_choice.py
@@ -14,6 +14,7 @@
 from mustardfront.codes import Code
 from mustardfront.coordination.limits import RetryBudget
 from mustardfront.coordination.traffic import (
+    Demand,
     FirstEventTimes,
     GroupPace,
     RateLimitNotice,
@@ -23,18 +24,23 @@
     choose_upstream,
     compared_upstreams,
     expected_foreign_load,
+    known_loads,
     selectable_upstreams,
+    with_room,
 )
 from mustardfront.programs._held import HeldBytes
 from mustardfront.programs.gateway._crash import CrashReporter
 from mustardfront.programs.gateway._header_names import HeaderNames
 from mustardfront.programs.gateway._outbox import Outbox
+from mustardfront.programs.gateway._places import PlaceQueues, PlaceWait
 from mustardfront.programs.gateway._request import GatewayRequest
 
 # Share of a request's time limit for which it waits for an available upstream. The
 # rest leaves its caller time to retry at another entry.
 UPSTREAM_WAIT_RATIO: Final = 0.3
 UPSTREAM_POLL_S: Final = 0.03
+# Part of an objective that is kept for the time from a place to the first event.
+LEAD_MAX_RATIO: Final = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +61,7 @@
     answer_times: FirstEventTimes = field(default_factory=FirstEventTimes)
     stop: StopDeadline = field(default_factory=StopDeadline)
     held: HeldBytes = field(default_factory=HeldBytes)
+    places: PlaceQueues = field(default_factory=PlaceQueues)
     pace: GroupPace = field(default_factory=lambda: GroupPace(trio.current_time))
 
 
@@ -87,16 +94,10 @@
     wait_ends_at = req.arrived_at + UPSTREAM_WAIT_RATIO * (
         req.deadline_at - req.arrived_at
     )
+    if fwd.state.admission_policy(req.service).is_on:
+        return await _wait_for_place(fwd, req, retry, wait_ends_at)
     while True:
-        if not _may_be_served(fwd, req, retry):
-            return None
-        if req.api_key and fwd.is_view_unconfirmed():
-            retry.code = Code.VIEW_UNCONFIRMED
-            retry.text = "the configuration store is unreachable"
-            return None
-        held = fwd.state.crash_evidence.held_content(req.content)
-        if held is not None:
-            _refuse_held(fwd, req, retry, held)
+        if _must_refuse(fwd, req, retry):
             return None
         chosen = _choose_upstream(fwd, req, retry)
         now_s = trio.current_time()
@@ -112,6 +113,47 @@
         await trio.sleep(UPSTREAM_POLL_S)
 
 
+async def _wait_for_place(
+    fwd: Forwarder, req: GatewayRequest, retry: RetryState, ends_at: float
+) -> Upstream | None:
+    """Wait in the order of admission for an upstream that has a place."""
+    wait = PlaceWait(
+        lambda wait: _choose_upstream(fwd, req, retry, wait),
+        lambda: _must_refuse(fwd, req, retry),
+    )
+    chosen = await fwd.places.wait(req.service, _demand(fwd, req, retry), wait, ends_at)
+    if chosen is None and retry.code is Code.NO_CAPABLE_UPSTREAM and not retry.upstream:
+        retry.code = Code.UPSTREAM_LIMIT
+        retry.text = "all places of the service are taken"
+    return chosen
+
+
+def _demand(fwd: Forwarder, req: GatewayRequest, retry: RetryState) -> Demand:
+    objective_s = req.route.objective_ms / 1000
+    usual_s = fwd.first_event_times.usual_s(req.service)
+    lead_s = min(usual_s, LEAD_MAX_RATIO * objective_s)
+    return Demand(
+        req.priority,
+        req.arrived_at + objective_s - lead_s,
+        req.arrived_at,
+        is_resumed=retry.attempts_sent > 0,
+    )
+
+
+def _must_refuse(fwd: Forwarder, req: GatewayRequest, retry: RetryState) -> bool:
+    """Return whether waiting cannot help; if so, set the reason for the refusal."""
+    if not _may_be_served(fwd, req, retry):
+        return True
+    if req.api_key and fwd.is_view_unconfirmed():
+        retry.code = Code.VIEW_UNCONFIRMED
+        retry.text = "the configuration store is unreachable"
+        return True
+    held = fwd.state.crash_evidence.held_content(req.content)
+    if held is not None:
+        _refuse_held(fwd, req, retry, held)
+    return held is not None
+
+
 def known_upstreams(fwd: Forwarder, req: GatewayRequest) -> Sequence[Upstream]:
     """Return the upstreams that may get a request, by its service and its regions."""
     known = fwd.state.upstreams_of(req.service)
@@ -174,14 +216,34 @@
 
 
 def _choose_upstream(
-    fwd: Forwarder, req: GatewayRequest, retry: RetryState
+    fwd: Forwarder,
+    req: GatewayRequest,
+    retry: RetryState,
+    place: PlaceWait | None = None,
 ) -> Upstream | None:
-    """Return the available upstream with the least expected load; log the choice."""
+    """Return the available upstream with the least expected load; log the choice.
+
+    With a wait for a ``place``, upstreams whose places are taken are not available.
+    """
     known = known_upstreams(fwd, req)
     own = fwd.state.own_upstreams(req.service)
     compared = compared_upstreams(known, own, random.sample, fwd.state.get)
-    candidates = selectable_upstreams(compared, retry.excluded, fwd.state)
     foreign_load = expected_foreign_load(known, len(fwd.state.entries))
+    load: Callable[[Upstream], float] | None = None
+    if place is not None:
+        peers, entry_count = fwd.state.peer_loads, len(fwd.state.entries)
+        load = known_loads(peers, entry_count, own)
+        policy = fwd.state.admission_policy(req.service)
+        compared = with_room(
+            compared,
+            peers,
+            own,
+            fwd.state.place_turns,
+            place.released,
+            is_least_urgent=not retry.attempts_sent
+            and req.priority == policy.least_urgent,
+        )
+    candidates = selectable_upstreams(compared, retry.excluded, fwd.state)
     groups = frozenset(one.group for one in candidates)
     ratios = {group: fwd.pace.slow_ratio(group, groups) for group in groups}
 
@@ -189,7 +251,7 @@
         return ratios[upstream.group] * fwd.state.slowness(upstream)
 
     chosen = choose_upstream(
-        candidates, own, foreign_load, fwd.place, random.random, slow_ratio
+        candidates, own, foreign_load, fwd.place, random.random, slow_ratio, load
     )
     if chosen is None:
         return None
@@ -203,6 +265,9 @@
         in_flight=chosen.in_flight,
         own=chosen.instance in own,
         foreign_load=round(foreign_load, 2),
+        known_load=round(load(chosen), 2) if load is not None else None,
+        waited_ms=round((trio.current_time() - req.arrived_at) * 1000),
+        waiting=fwd.places.waiting_count(),
         slow_ratio=round(slow_ratio(chosen), 2),
         candidates=len(candidates),
         known=len(known),
--- a/src/mustardfront/programs/gateway/_forward.py
+++ b/src/mustardfront/programs/gateway/_forward.py
@@ -188,6 +188,7 @@
     finally:
         upstream.in_flight -= 1
         fwd.pace.end(group, attempt)
+        fwd.places.grant(req.service, upstream.key)
     if isinstance(result, FullResponse) or (
         events_before == 0 and progress.event_count
     ):
--- a/src/mustardfront/programs/gateway/_main.py
+++ b/src/mustardfront/programs/gateway/_main.py
@@ -40,6 +40,7 @@
 from mustardfront.programs.gateway._choice import Forwarder
 from mustardfront.programs.gateway._crash import CrashReporter
 from mustardfront.programs.gateway._header_names import HeaderNames
+from mustardfront.programs.gateway._load_exchange import LoadExchange
 from mustardfront.programs.gateway._outbox import Outbox
 from mustardfront.results import Err, Ok, Result
 
@@ -71,7 +72,8 @@
     Requests with a key are refused once the view of the configuration store is older
     than ``view_age_max_s`` (None: never). Within the window of the retry budget, all
     entries together may retry the share ``retry_ratio`` of a service's requests, plus
-    ``retry_extra`` requests. ``regions`` are the regions of places.
+    ``retry_extra`` requests. ``regions`` are the regions of places. Entries report
+    their loads to each other on ``peer_listen`` (None: they do not).
     """
 
     host: str
@@ -85,6 +87,7 @@
     retry_ratio: float
     retry_extra: float
     regions: Mapping[str, str] = field(default_factory=dict)
+    peer_listen: tuple[str, int] | None = None
 
 
 class LiveSettings:
@@ -191,8 +194,14 @@
             _stop_after_drain, live, shutdown, frontend.forwarder.stop, sink
         )
         nursery.start_soon(
-            _follow_feed, settings.host, open_feed, metrics, frontend.forwarder, clock
+            _follow_feed, settings, open_feed, metrics, frontend.forwarder, clock
         )
+        if settings.peer_listen is not None:
+            fwd = frontend.forwarder
+            exchange = LoadExchange(
+                state, settings.host, fwd.places.waiting_count, fwd.places.grant_all
+            )
+            nursery.start_soon(exchange.run, settings.peer_listen)
         failed = await _serve_http(nursery, settings, frontend, shutdown, state)
         if failed is not None:
             events.log(
@@ -206,7 +215,7 @@
 
 
 async def _follow_feed(
-    host: str,
+    settings: GatewaySettings,
     open_feed: Callable[[Metrics], Any],
     metrics: Metrics,
     fwd: Forwarder,
@@ -216,11 +225,14 @@
     async with open_feed(metrics) as feed, trio.open_nursery() as nursery:
         state = fwd.state
         nursery.start_soon(
-            keep_announced,
-            feed,
-            host,
-            lambda: state.version,
-            state.sleep_until_store_returns,
+            partial(
+                keep_announced,
+                feed,
+                settings.host,
+                lambda: state.version,
+                state.sleep_until_store_returns,
+                address=settings.peer_listen,
+            )
         )
         nursery.start_soon(fwd.crash_reporter.run, feed.report_crash)
         nursery.start_soon(_announce_rate_limits, feed, fwd)
@@ -297,6 +309,13 @@
     metrics.gauge(
         "mustardfront_cold_upstreams", lambda: float(state.warm_ups.cold_count())
     )
+    places = frontend.forwarder.places
+    metrics.gauge(
+        "mustardfront_requests_waiting", lambda: float(places.waiting_count())
+    )
+    metrics.gauge(
+        "mustardfront_peers_reporting", lambda: float(state.peer_loads.reporting_count)
+    )
     metrics.gauge(
         "mustardfront_requests_in_flight", lambda: float(frontend.open_requests)
     )
