Read a held rank directly when its agent stops, and exclude upstreams that fail streams

(2) Six upstreams answered streams with status 500 at once. That counted as a success, so they always seemed free: 875 tries ended there, 278 requests failed within 6 s.

Change: the coordinator reads just the held rank directly and goes on; answers that came in time are kept when others do not. Status 500 and above to a stream excludes the upstream like a failure.

--- a/src/mustardfront/coordination/rankmaps/_members.py
+++ b/src/mustardfront/coordination/rankmaps/_members.py
@@ -30,11 +30,9 @@
 )
 from mustardfront.results import Err, Ok, Result
 
-# Sends (kind, data) to the agent at each address and returns all answers by address.
-SendRequests: TypeAlias = Callable[
-    [Mapping[str, tuple[str, dict[str, Any]]]],
-    Awaitable[dict[str, Result[dict[str, Any]]]],
-]
+# Sends (kind, data) to the agent at each address and returns the answers by address,
+# all of them, or those that came within the seconds given as a second argument.
+SendRequests: TypeAlias = Callable[..., Awaitable[dict[str, Result[dict[str, Any]]]]]
 States: TypeAlias = dict[int, MemberState]
 
 
@@ -154,6 +152,11 @@
         state = _parse(answers[address], MemberState)
         return state.value if isinstance(state, Ok) else None
 
+    async def read_directly(self, rank: int) -> MemberState | None:
+        """Return a rank's state without its agent; None if it cannot be read."""
+        client = self.direct_clients.get(rank)
+        return await _read_directly(client) if client is not None else None
+
     async def unlock(self) -> None:
         """Release the locks, so that another coordinator need not wait for them."""
         query = StateQuery(self.holder, lock=False, unlock=True)
@@ -189,9 +192,7 @@
             self.addresses[rank]: messages[id(order)]
             for rank, order in by_agent.items()
         }
-        answers: dict[str, Result[dict[str, Any]]] = {}
-        with trio.move_on_after(patience_s):
-            answers = await self.send_requests(requests)
+        answers = await self._send(requests, patience_s)
         silent: Err = Err(Code.RANK_UNREACHABLE, "the agent did not answer in time")
         results: dict[int, OrderResult] = {}
 
@@ -215,6 +216,13 @@
                 results[rank] = OrderResult(OrderOutcome.UNKNOWN, None)
         return results
 
+    async def _send(
+        self, requests: Mapping[str, tuple[str, dict[str, Any]]], patience_s: float
+    ) -> dict[str, Result[dict[str, Any]]]:
+        if math.isinf(patience_s):
+            return await self.send_requests(requests)
+        return await self.send_requests(requests, patience_s)
+
     def _order_data(
         self, order: RankOrder, changes: MapChanges | None, guard: HoldGuard | None
     ) -> dict[str, Any]:
--- a/src/mustardfront/coordination/rankmaps/_relay.py
+++ b/src/mustardfront/coordination/rankmaps/_relay.py
@@ -119,15 +119,28 @@
         self._send_directly = send_directly
         self._paused_until: dict[str, float] = {}
 
-    async def send_requests(self, requests: Mapping[str, _Message]) -> _Answers:
+    async def send_requests(
+        self, requests: Mapping[str, _Message], patience_s: float = math.inf
+    ) -> _Answers:
         """Send each agent its request and return the answers by address.
 
-        Agents share a branch only if they get the same request object.
+        Agents share a branch only if they get the same request object. Answers that
+        come later than ``patience_s`` are left out.
         """
         by_message: dict[int, list[str]] = {}
         for address, message in requests.items():
             by_message.setdefault(id(message), []).append(address)
         answers: _Answers = {}
+        with trio.move_on_after(patience_s):
+            await self._send_by_message(requests, by_message, answers)
+        return answers
+
+    async def _send_by_message(
+        self,
+        requests: Mapping[str, _Message],
+        by_message: Mapping[int, list[str]],
+        answers: _Answers,
+    ) -> None:
         async with trio.open_nursery() as nursery:
             for addresses in by_message.values():
                 message = requests[addresses[0]]
@@ -136,7 +149,6 @@
                     continue
                 for branch in self._split(addresses):
                     nursery.start_soon(self._send_branch, message, branch, answers)
-        return answers
 
     def _split(self, addresses: list[str]) -> list[list[str]]:
         ordered = sorted(addresses, key=self._order.__getitem__)
--- a/src/mustardfront/coordination/rankmaps/_switch.py
+++ b/src/mustardfront/coordination/rankmaps/_switch.py
@@ -126,12 +126,13 @@
         elapsed_ms=round((trio.current_time() - began_s) * 1000),
     )
     hold_began_s = trio.current_time()
+    held_rank = members.hold_rank()
     step = await _hold(members, epoch, prepared_states, sleep, steps_ahead)
     if step is None:
         _log_map_kept(members, version, "the hold of the group was not confirmed")
         return None
     released = await finish(
-        members, epoch, ArmedSwitch(version, step), {members.hold_rank(): step}, sleep
+        members, epoch, ArmedSwitch(version, step), {held_rank: step}, sleep
     )
     if not released:
         return None
@@ -228,11 +229,12 @@
         results = await members.send_orders(
             {rank: hold}, guard=guard, patience_s=HELD_PATIENCE_S
         )
-        result = results[rank]
-        if result.state is None:
+        state = results[rank].state
+        if state is None:
             # The agent may have stopped just after it gave the order.
             members = members.calling_directly([rank])
-        elif result.state.report.held == step:
+            state = await members.read_directly(rank)
+        if state is not None and state.report.held == step:
             return step
         await sleep(ORDER_RETRY_S)
         states = await members.lock_and_read()
--- a/src/mustardfront/programs/gateway/_forward.py
+++ b/src/mustardfront/programs/gateway/_forward.py
@@ -41,6 +41,7 @@
 )
 from mustardfront.programs.gateway._reply import ResponseWriter
 from mustardfront.programs.gateway._request import GatewayRequest
+from mustardfront.state import RequestKind
 
 # Failed connections and replaced instances do not count as attempts; this bounds them.
 CONNECT_FAILURES_MAX: Final = 4
@@ -202,7 +203,7 @@
         retry.may_have_run = may_have_run_before
     if isinstance(result, FullResponse):
         fwd.crash_reporter.record_output(req.content)
-    _record_result(fwd, upstream, result, retry)
+    _record_result(fwd, req, upstream, result, retry)
     if isinstance(result, Failed) and result.connection_closed:
         event_count = progress.event_count - events_before
         await record_closed_attempt(fwd, req, upstream, retry, event_count, sent_s)
@@ -237,8 +238,16 @@
         await trio.sleep(SILENCE_POLL_S)
 
 
+def _is_failed_stream(req: GatewayRequest, response: FullResponse) -> bool:
+    return req.route.kind is RequestKind.STREAM and response.status >= 500
+
+
 def _record_result(
-    fwd: Forwarder, upstream: Upstream, result: AttemptResult, retry: RetryState
+    fwd: Forwarder,
+    req: GatewayRequest,
+    upstream: Upstream,
+    result: AttemptResult,
+    retry: RetryState,
 ) -> None:
     """Update the health of the upstream and the retry state from a result."""
     is_replaced = isinstance(result, NotRun) and result.code is Code.UPSTREAM_REPLACED
@@ -249,7 +258,10 @@
     retry.excluded |= {upstream.instance}
     if isinstance(result, NotRun | Failed):
         retry.code, retry.text = result.code, result.text
-    if isinstance(result, FullResponse | Streamed):
+    if isinstance(result, FullResponse) and _is_failed_stream(req, result):
+        # It is free again at once, and would get the more requests the more it fails.
+        fwd.state.record_failure(upstream, f"status {result.status} to a stream")
+    elif isinstance(result, FullResponse | Streamed):
         fwd.state.record_success(upstream)
     elif is_replaced:
         fwd.state.remove_incarnation(upstream)
--- a/tests/rank_fakes.py
+++ b/tests/rank_fakes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import Counter
 from collections.abc import Callable
@@ -326,7 +327,7 @@
     def client_of(self, rank: int) -> FakeRankClient:
         return self.clients[rank]
 
-    async def send_requests(self, requests):
+    async def send_requests(self, requests, patience_s=math.inf):
         import msgspec
 
         answers = {}
@@ -356,9 +357,10 @@
             else:
                 answers[address] = Err(Code(reply.code), body["text"])
 
-        async with trio.open_nursery() as nursery:
-            for address, (kind, data) in requests.items():
-                nursery.start_soon(send_request, address, kind, data)
+        with trio.move_on_after(patience_s):
+            async with trio.open_nursery() as nursery:
+                for address, (kind, data) in requests.items():
+                    nursery.start_soon(send_request, address, kind, data)
         return answers
 
 
