Give up a hold when the coordinator's host is frozen, by a proof over all agents

Change: the coordinator orders the hold of another rank itself, after that rank's agent has agreed to guard it, and arms its own rank last. When the group stands, the guard finishes the switch if the coordinator's rank can be called; if not, it asks all other agents to order no arms for this step any more, and releases the step with the old map if none of them ever did. The specification has the new step (a revoked step without orders to arm may be released); its inductive invariant is proved, and releasing without the revocation is a defect that breaks the proof and has a counterexample.

--- a/specs/timed_switch.py
+++ b/specs/timed_switch.py
@@ -14,14 +14,17 @@
 ``prep``: the prepared version, 0 none. ``arm``: the version that a rank is armed for,
 0 none, and ``at`` its step. ``map``: the version in force. ``held``: the step that a
 rank holds, 0 none; two of the ranks accept hold orders. Orders that were sent: ``p``
-prepare, ``h`` hold, ``a`` arm, ``d`` disarm, ``r`` release.
-Sources: ``coordination/rankmaps/_switch.py``, ``tests/rank_fakes.py``.
+prepare, ``h`` hold, ``a`` arm, ``d`` disarm, ``r`` release. ``x``: a step for which no
+order to arm is sent any more; the agents have promised that. A held step is released
+for a revoked step too, if no order to arm for it was ever sent.
+Sources: ``coordination/rankmaps/_switch.py``, ``_guard.py``, ``tests/rank_fakes.py``.
 
 Defects: ``no-hold`` (ranks are armed for a step that is not held),
 ``unchecked-release`` (a step is released whether or not the ranks are armed),
 ``idle-release`` (a step is also released if no rank is armed and no version is left to
 arm), ``late-release`` (a step is also released if all ranks are armed for an earlier
-one) and ``live-disarm`` (ranks are disarmed for a version that is not superseded).
+one), ``live-disarm`` (ranks are disarmed for a version that is not superseded) and
+``unrevoked-release`` (a step is also released while no order to arm for it was sent).
 """
 
 from __future__ import annotations
@@ -34,7 +37,13 @@
 from specs._bmc import Action, Formula, Model, State, unchanged_except
 
 Defect: TypeAlias = Literal[
-    "", "no-hold", "unchecked-release", "idle-release", "late-release", "live-disarm"
+    "",
+    "no-hold",
+    "unchecked-release",
+    "idle-release",
+    "late-release",
+    "live-disarm",
+    "unrevoked-release",
 ]
 DEFECTS: Final[tuple[Defect, ...]] = (
     "no-hold",
@@ -42,6 +51,7 @@
     "idle-release",
     "late-release",
     "live-disarm",
+    "unrevoked-release",
 )
 
 RANKS: Final = (0, 1, 2)
@@ -57,6 +67,9 @@
     actions: dict[str, Action] = {"begin": _begin_step}
     for rank in RANKS:
         variables |= {f"{name}{rank}": _SORT for name in ("prep", "arm", "at", "map")}
+    for step in STEPS:
+        variables[f"x{step}"] = z3.BoolSort()
+        actions[f"revoke{step}"] = partial(_revoke, step)
     for version in VERSIONS:
         variables |= {f"p{version}": z3.BoolSort(), f"d{version}": z3.BoolSort()}
         actions[f"propose{version}"] = partial(_propose, version)
@@ -183,6 +196,7 @@
     no_other_held = z3.And([z3.Not(_is_held(now, one)) for one in others])
     none_sent = z3.And([z3.Not(now[f"a{version}{one}"]) for one in STEPS])
     return z3.And(
+        z3.Not(now[f"x{step}"]),
         is_held,
         _all_prepared(now, version),
         _is_new(now, version),
@@ -206,6 +220,16 @@
     )
 
 
+def _revoke(step: int, now: State, after: State) -> Formula:
+    """Let no order to arm for a step be sent any more; this is allowed at any time."""
+    return z3.And(after[f"x{step}"], unchanged_except(now, after, f"x{step}"))
+
+
+def _never_sent(now: State, step: int) -> Formula:
+    """Return whether no order to arm for a step was sent."""
+    return z3.And([z3.Not(now[f"a{version}{step}"]) for version in VERSIONS])
+
+
 def _order_disarm(version: int, defect: Defect, now: State, after: State) -> Formula:
     """Order the ranks to disarm a superseded version."""
     sent = f"d{version}"
@@ -244,6 +268,10 @@
             [z3.And(_all_prepared(now, one), _is_new(now, one)) for one in VERSIONS]
         )
         allowed = z3.Or(allowed, z3.And(_none_armed(now), z3.Not(armable)))
+    given_up = _never_sent(now, step)
+    if defect != "unrevoked-release":
+        given_up = z3.And(now[f"x{step}"], given_up)
+    allowed = z3.Or(allowed, given_up)
     held = now[f"held{holder}"] == step
     return z3.And(held, allowed, after[sent], unchanged_except(now, after, sent))
 
@@ -353,7 +381,10 @@
 
 
 def _release_invariant(state: State, holder: int, step: int) -> Formula:
-    """Return whether a released step has begun or all ranks switch at it or later."""
+    """Return whether a released step has begun, or nothing mixed can happen at it.
+
+    All ranks switch at it or later, or no rank can ever be armed for it.
+    """
     armed_in_time = [
         _all_armed(state, version, one)
         for version in VERSIONS
@@ -361,5 +392,10 @@
         if one >= step
     ]
     return z3.Implies(
-        state[f"r{holder}{step}"], z3.Or(z3.UGE(state["step"], step), *armed_in_time)
+        state[f"r{holder}{step}"],
+        z3.Or(
+            z3.UGE(state["step"], step),
+            z3.And(state[f"x{step}"], _never_sent(state, step)),
+            *armed_in_time,
+        ),
     )
--- a/src/mustardfront/coordination/rankmaps/__init__.py
+++ b/src/mustardfront/coordination/rankmaps/__init__.py
@@ -1,7 +1,7 @@
 """Expert maps of groups whose ranks follow timed orders and do not vote."""
 
 from mustardfront.coordination.rankmaps._coordinator import GroupCoordinator
-from mustardfront.coordination.rankmaps._guard import guard_hold
+from mustardfront.coordination.rankmaps._guard import guard_hold, may_give_up
 from mustardfront.coordination.rankmaps._loads import CountDeltas, DecayedLoads
 from mustardfront.coordination.rankmaps._members import Members, SendRequests, States
 from mustardfront.coordination.rankmaps._order_handler import (
@@ -94,6 +94,7 @@
     "guard_hold",
     "is_held_or_armed",
     "layer_cost",
+    "may_give_up",
     "next_version",
     "plan_layers",
     "recover",
--- a/src/mustardfront/coordination/rankmaps/_guard.py
+++ b/src/mustardfront/coordination/rankmaps/_guard.py
@@ -1,29 +1,37 @@
-"""Releases a group whose coordinator stopped while it held the group.
-
-The agent of the held rank knows the version and the step for which the ranks are armed,
-so it can finish the switch with the same orders as the coordinator. Both may act at the
-same time: their orders are equal, and repeating one changes nothing. The step is
-released only once every rank has reported that it is armed for it, and an armed rank
-stays so: it is disarmed only for a version that another rank has replaced, and such a
-rank cannot be armed for that version.
+"""Ends the hold of a group whose coordinator stopped while it held the group.
+
+The agent of the held rank knows the version and the step for which the ranks are armed.
+If it can call all ranks, it finishes the switch with the same orders as the
+coordinator. Both may act at the same time: their orders are equal, and repeating one
+changes nothing. The step is released only once every rank was seen armed for it, and an
+armed rank stays so: it is disarmed only for a version that another rank has replaced,
+and such a rank cannot be armed for that version.
+
+If the coordinator's host is frozen, its rank cannot be called and so cannot be armed.
+The group then goes on with the old map, provided that no rank can ever be armed for the
+step: all other agents have promised to give no such order any more and have given none,
+and the coordinator's own rank is armed only after all others.
 """
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Final
 
 import trio
 
 from mustardfront import events
 from mustardfront.coordination.rankmaps._members import Members
-from mustardfront.coordination.rankmaps._order_handler import GuardedHold
-from mustardfront.coordination.rankmaps._switch import Sleep, finish
+from mustardfront.coordination.rankmaps._order_handler import GuardedHold, Revocation
+from mustardfront.coordination.rankmaps._switch import Sleep, finish, release
 from mustardfront.coordination.rankmaps._types import ArmedSwitch, RankClient
-from mustardfront.results import Err
+from mustardfront.results import Err, Ok
 
 # A coordinator that runs has released the group by then, most of the time.
-GUARD_DELAY_S: Final = 0.2
-GUARD_POLL_S: Final = 0.05
+GUARD_DELAY_S: Final = 0.15
+GUARD_POLL_S: Final = 0.03
+# Time in which all agents can answer; one round over a large group takes a third of it.
+REVOKE_PATIENCE_S: Final = 0.15
 # The group reaches the held step within this time, or not at all.
 GUARD_MAX_S: Final = 5.0
 
@@ -31,10 +39,10 @@
 async def guard_hold(
     hold: GuardedHold, members: Members, client: RankClient, sleep: Sleep = trio.sleep
 ) -> bool:
-    """Finish a switch if its group is still held after a while.
+    """End a hold if its group stands for a while.
 
     ``members`` order in the name of the hold's lock; ``client`` is that of the held
-    rank. Return whether this agent released the group.
+    rank. Return whether this agent acted.
     """
     ends_at = trio.current_time() + GUARD_MAX_S
     standing_since: float | None = None
@@ -57,19 +65,64 @@
             continue
         now_s = trio.current_time()
         standing_since = now_s if standing_since is None else standing_since
-        if now_s - standing_since >= GUARD_DELAY_S and members.is_locked():
-            return await _take_over(hold, members, sleep)
+        if now_s - standing_since < GUARD_DELAY_S:
+            continue
+        if await _end_hold(hold, members, sleep):
+            return True
     return False
 
 
-async def _take_over(hold: GuardedHold, members: Members, sleep: Sleep) -> bool:
-    target = ArmedSwitch(hold.guard.version, hold.step)
+def may_give_up(
+    may_be_armed: Mapping[int, bool], ranks: frozenset[int], coordinator: int
+) -> bool:
+    """Return whether no rank is or can be armed for a held step.
+
+    ``may_be_armed`` are the answers of agents that give no order to arm any more.
+    """
+    others = ranks - {coordinator}
+    return others <= may_be_armed.keys() and not any(
+        may_be_armed[rank] for rank in others
+    )
+
+
+async def _end_hold(hold: GuardedHold, members: Members, sleep: Sleep) -> bool:
+    """Try to end a hold; return whether nothing is left to do here."""
+    if await _is_reachable(hold, members):
+        if not members.is_locked():
+            return False
+        _log_taken_over(hold, members, is_switched=True)
+        target = ArmedSwitch(hold.guard.version, hold.step)
+        held = {members.own_rank: hold.step}
+        direct = members.calling_directly([hold.guard.coordinator])
+        await finish(direct, hold.epoch, target, held, sleep)
+        # Orders to arm are on their way, so the hold must not be given up any more.
+        return True
+    revocation = Revocation(hold.epoch, hold.step)
+    answers = await members.revoke(revocation, REVOKE_PATIENCE_S)
+    ranks = frozenset(members.addresses)
+    # A rank whose agent promises nothing could still be armed.
+    if not may_give_up(answers, ranks, hold.guard.coordinator):
+        return False
+    _log_taken_over(hold, members, is_switched=False)
+    # The agent's own rank, whatever lock it has: the release follows from the proof.
+    direct = members.calling_directly([members.own_rank])
+    return await release(direct, hold.epoch, {members.own_rank: hold.step}, sleep)
+
+
+async def _is_reachable(hold: GuardedHold, members: Members) -> bool:
+    """Return whether the coordinator's rank can be called without its agent."""
+    if members.client_of is None:
+        return True
+    client = members.client_of(hold.guard.coordinator)
+    return isinstance(await client.report(), Ok)
+
+
+def _log_taken_over(hold: GuardedHold, members: Members, *, is_switched: bool) -> None:
     events.log(
         events.Event.HOLD_TAKEN_OVER,
         group=members.group,
-        map_version=target.version,
-        step=target.step,
+        map_version=hold.guard.version,
+        step=hold.step,
         holder=hold.holder,
+        is_switched=is_switched,
     )
-    held = {members.own_rank: hold.step}
-    return await finish(members, hold.epoch, target, held, sleep)
--- a/src/mustardfront/coordination/rankmaps/_members.py
+++ b/src/mustardfront/coordination/rankmaps/_members.py
@@ -13,13 +13,18 @@
 
 from mustardfront.codes import Code
 from mustardfront.coordination.rankmaps._order_handler import (
+    GUARD_REQUEST,
     ORDER_REQUEST,
+    REVOCATION,
     STATE_QUERY,
     GroupMember,
+    GuardedHold,
     HoldGuard,
     MemberState,
     OrderRequest,
     OrderResult,
+    Revocation,
+    RevocationReply,
     StateQuery,
 )
 from mustardfront.coordination.rankmaps._types import (
@@ -77,7 +82,32 @@
             GroupMember(rank, agent, self.upstreams[rank])
             for rank, agent in sorted(self.addresses.items())
         )
-        return HoldGuard(self.group, version, members)
+        return HoldGuard(self.group, version, self.own_rank, members)
+
+    async def announce_hold(
+        self, rank: int, hold: GuardedHold, patience_s: float
+    ) -> bool:
+        """Ask the agent of a rank to guard its hold; return whether it does."""
+        address = self.addresses[rank]
+        request = (GUARD_REQUEST, msgspec.to_builtins(hold))
+        answers = await self._send({address: request}, patience_s)
+        return isinstance(answers.get(address), Ok)
+
+    async def revoke(self, req: Revocation, patience_s: float) -> dict[int, bool]:
+        """Ask the agents to arm their ranks for no step up to one any more.
+
+        Return by rank whether it may be armed or become so, of those that answered.
+        """
+        request = (REVOCATION, msgspec.to_builtins(req))
+        requests = dict.fromkeys(self.addresses.values(), request)
+        answers = await self._send(requests, patience_s)
+        found: dict[int, bool] = {}
+        for rank, address in self.addresses.items():
+            answer = answers.get(address)
+            reply = _parse(answer, RevocationReply) if answer is not None else answer
+            if isinstance(reply, Ok):
+                found[rank] = reply.value.may_be_armed
+        return found
 
     def calling_directly(self, ranks: Iterable[int]) -> Members:
         """Return members that call ``ranks`` without their agents, if it can."""
@@ -170,14 +200,13 @@
         orders: Mapping[int, RankOrder],
         changes: MapChanges | None = None,
         *,
-        guard: HoldGuard | None = None,
         patience_s: float = math.inf,
     ) -> dict[int, OrderResult]:
         """Send the ranks their orders in one batch and return the results by rank.
 
         With ``changes``, agents get these in place of the orders' layers. Ranks with
         the same order object share one message. Agents that have not answered after
-        ``patience_s`` count as silent. An order to hold has a ``guard``.
+        ``patience_s`` count as silent.
         """
         by_agent = {
             rank: order
@@ -185,7 +214,7 @@
             if rank not in self.direct_clients
         }
         messages = {
-            id(order): (ORDER_REQUEST, self._order_data(order, changes, guard))
+            id(order): (ORDER_REQUEST, self._order_data(order, changes))
             for order in by_agent.values()
         }
         requests = {
@@ -224,12 +253,12 @@
         return await self.send_requests(requests, patience_s)
 
     def _order_data(
-        self, order: RankOrder, changes: MapChanges | None, guard: HoldGuard | None
+        self, order: RankOrder, changes: MapChanges | None
     ) -> dict[str, Any]:
         if changes is not None:
             order = replace(order, layers=())
         data: dict[str, Any] = msgspec.to_builtins(
-            OrderRequest(self.holder, order, changes, guard)
+            OrderRequest(self.holder, order, changes)
         )
         return data
 
--- a/src/mustardfront/coordination/rankmaps/_order_handler.py
+++ b/src/mustardfront/coordination/rankmaps/_order_handler.py
@@ -42,6 +42,10 @@
 # Kinds of the peer message ``Order``.
 STATE_QUERY: Final = "state"
 ORDER_REQUEST: Final = "order"
+GUARD_REQUEST: Final = "guard"
+REVOCATION: Final = "revoke"
+# A process that started later may have forgotten an order of the one before it.
+REVOKE_UPTIME_MIN_S: Final = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,11 +92,13 @@
 class HoldGuard:
     """What the agent of a held rank needs to release its group by itself.
 
-    The ranks are armed for ``version`` at the held step.
+    The ranks are armed for ``version`` at the held step. The rank ``coordinator`` is
+    armed after all others.
     """
 
     group: str
     version: int
+    coordinator: int
     members: tuple[GroupMember, ...]
 
 
@@ -106,18 +112,31 @@
     guard: HoldGuard
 
 
+@dataclass(frozen=True, slots=True)
+class Revocation:
+    """A request to arm the rank for no step up to ``step`` of an epoch any more."""
+
+    epoch: int
+    step: int
+
+
+@dataclass(frozen=True, slots=True)
+class RevocationReply:
+    """Whether an agent may ever have ordered its rank to arm for a revoked step."""
+
+    may_be_armed: bool
+
+
 @dataclass(frozen=True, slots=True)
 class OrderRequest:
     """An order to a rank; it is refused unless ``holder`` holds the rank's lock.
 
     With ``changes`` the order has no layers: its map is the one that they result in.
-    An order to hold a step has a ``guard``; earlier versions send none.
     """
 
     holder: str
     order: RankOrder
     changes: MapChanges | None = None
-    guard: HoldGuard | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,7 +162,11 @@
         self._checked_version: int | None = None
         self._count_deltas = CountDeltas()
         self.last_report: RankReport | None = None
-        # Called when the rank is about to be held.
+        self._started_s = clock()
+        # The epoch and step up to which the rank was ordered to arm, and may not be.
+        self._armed = (0, 0)
+        self._revoked = (0, 0)
+        # Called when a coordinator is about to hold the rank.
         self.on_hold: Callable[[GuardedHold], None] = lambda hold: None
         # Maps of recent orders by epoch and version, oldest first.
         self._maps: dict[tuple[int, int], tuple[LayerMap, ...]] = {}
@@ -171,6 +194,11 @@
             if order.kind == ORDER_REQUEST:
                 req = decode_json(order.data, OrderRequest)
                 return await self._execute_order(req)
+            if order.kind == GUARD_REQUEST:
+                self.on_hold(decode_json(order.data, GuardedHold))
+                return Ok({})
+            if order.kind == REVOCATION:
+                return await self._revoke(decode_json(order.data, Revocation))
         except msgspec.MsgspecError as exc:
             return Err(Code.BAD_MESSAGE, f"{order.kind}: {exc}")
         return Err(Code.BAD_MESSAGE, f"unknown order kind {order.kind!r}")
@@ -240,9 +268,11 @@
             return Ok(OrderResult(OrderOutcome.MAP_UNKNOWN, None))
         if order.kind is OrderKind.PREPARE:
             await self._store_ordered_rows(order)
-        if order.kind is OrderKind.HOLD and req.guard is not None:
+        if order.kind is OrderKind.ARM:
+            if (order.epoch, order.step) <= self._revoked:
+                return await self._result(OrderOutcome.REFUSED)
             # Before the order, which may be executed without an answer.
-            self.on_hold(GuardedHold(req.holder, order.epoch, order.step, req.guard))
+            self._armed = max(self._armed, (order.epoch, order.step))
         outcome = OrderOutcome.UNKNOWN
         for _ in range(ORDER_TRIES):
             # The process may have been paused since the lock was checked.
@@ -252,9 +282,19 @@
             outcome = await self._client.send_order(order)
             if outcome is not OrderOutcome.UNKNOWN:
                 break
+        return await self._result(outcome)
+
+    async def _result(self, outcome: OrderOutcome) -> Result[OrderResult]:
         state = await self._read_state(locked=True, with_counts=False, with_maps=False)
         return Ok(OrderResult(outcome, state.value if isinstance(state, Ok) else None))
 
+    async def _revoke(self, req: Revocation) -> Result[RevocationReply]:
+        """Order no more arms up to a step; tell whether one was ordered before."""
+        self._revoked = max(self._revoked, (req.epoch, req.step))
+        is_new = self._clock() - self._started_s < REVOKE_UPTIME_MIN_S
+        ordered = self._armed[0] == req.epoch and self._armed[1] >= req.step
+        return Ok(RevocationReply(is_new or ordered))
+
     def _is_locked_for(self, holder: str) -> bool:
         return bool(holder) and self.holder == holder
 
--- a/src/mustardfront/coordination/rankmaps/_switch.py
+++ b/src/mustardfront/coordination/rankmaps/_switch.py
@@ -7,8 +7,9 @@
 step that has begun, an older version or another epoch, so that the rank refuses it.
 
 The held rank is another one than the coordinator's. Its agent knows the switch and
-finishes it when the coordinator stops (``_guard``); the coordinator calls ranks whose
-agents stop directly. What both leave, a later coordinator recovers (``_recover``).
+ends the hold when the coordinator stops (``_guard``). The coordinator orders the hold
+itself, and calls ranks whose agents stop directly. Its own rank is armed last. What
+both leave, a later coordinator recovers (``_recover``).
 Specification: ``specs/timed_switch.py``.
 """
 
@@ -23,7 +24,7 @@
 
 from mustardfront import events
 from mustardfront.coordination.rankmaps._members import Members, States
-from mustardfront.coordination.rankmaps._order_handler import OrderResult
+from mustardfront.coordination.rankmaps._order_handler import GuardedHold, OrderResult
 from mustardfront.coordination.rankmaps._types import (
     ArmedSwitch,
     MapChanges,
@@ -222,18 +223,17 @@
     """
     rank = members.hold_rank()
     guard = members.guard(states[members.own_rank].report.prepared)
+    direct = members.calling_directly([rank])
     for _ in range(HOLD_TRIES):
         latest_step = max(state.report.step for state in states.values())
         step = latest_step + steps_ahead
         hold = RankOrder(OrderKind.HOLD, epoch, step=step)
-        results = await members.send_orders(
-            {rank: hold}, guard=guard, patience_s=HELD_PATIENCE_S
-        )
+        if guard is not None and rank != members.own_rank:
+            guarded = GuardedHold(members.holder, epoch, step, guard)
+            if not await members.announce_hold(rank, guarded, HELD_PATIENCE_S):
+                return None
+        results = await direct.send_orders({rank: hold}, patience_s=HELD_PATIENCE_S)
         state = results[rank].state
-        if state is None:
-            # The agent may have stopped just after it gave the order.
-            members = members.calling_directly([rank])
-            state = await members.read_directly(rank)
         if state is not None and state.report.held == step:
             return step
         await sleep(ORDER_RETRY_S)
@@ -279,10 +279,14 @@
     arm = RankOrder(OrderKind.ARM, epoch, version=target.version, step=target.step)
     pending = set(members.addresses)
     for _ in range(ORDER_ROUNDS_MAX):
+        # The own rank comes last, so that it is not armed while another one is not.
+        batch = pending - {members.own_rank} or pending
         results = await members.send_orders(
-            dict.fromkeys(pending, arm), patience_s=HELD_PATIENCE_S
+            dict.fromkeys(batch, arm), patience_s=HELD_PATIENCE_S
         )
-        members = members.calling_directly(_silent_ranks(results))
+        if any(result.state is not None for result in results.values()):
+            # An agent has ordered it, so that the hold is no longer given up.
+            members = members.calling_directly(_silent_ranks(results))
         for rank, result in results.items():
             if result.state is None:
                 continue
@@ -300,7 +304,8 @@
                 return False
         if not pending:
             return True
-        await sleep(ORDER_RETRY_S)
+        if pending != {members.own_rank}:
+            await sleep(ORDER_RETRY_S)
     _log_map_kept(
         members, target.version, "not all ranks are armed; the group stays held"
     )
--- a/tests/rank_fakes.py
+++ b/tests/rank_fakes.py
@@ -39,6 +39,7 @@
 LAYERS, EXPERTS, RANKS, SLOTS = 2, 8, 4, 4
 STEP_S = 0.05
 LOAD_S = 0.2
+CALL_TIMEOUT_S = 0.1
 MODEL = EngineModel(
     layers=LAYERS,
     experts=EXPERTS,
@@ -266,6 +267,21 @@
         self._group.apply_order(self._rank, order)
 
 
+class UnreachableRank:
+    """Client of a rank that answers nothing."""
+
+    async def report(self):
+        await trio.sleep(CALL_TIMEOUT_S)
+        return Err(Code.RANK_UNREACHABLE, "no answer")
+
+    async def maps(self):
+        return await self.report()
+
+    async def send_order(self, order: RankOrder) -> OrderOutcome:
+        await trio.sleep(CALL_TIMEOUT_S)
+        return OrderOutcome.UNKNOWN
+
+
 class FakeAgents:
     """The agents of a group, some of which may be unreachable.
 
@@ -280,6 +296,8 @@
         self.unreachable: set[int] = set()
         # Agents that are frozen; their ranks go on.
         self.silent: set[int] = set()
+        # Ranks whose hosts are frozen, so that nobody reaches them.
+        self.cut_off: set[int] = set()
 
     def new_handler(self, rank: int) -> RankOrderHandler:
         return RankOrderHandler(self.clients[rank], trio.current_time)
@@ -324,8 +342,8 @@
     async def send_directly(self, requests, timeout_s):
         return await self.send_requests(requests)
 
-    def client_of(self, rank: int) -> FakeRankClient:
-        return self.clients[rank]
+    def client_of(self, rank: int) -> FakeRankClient | UnreachableRank:
+        return UnreachableRank() if rank in self.cut_off else self.clients[rank]
 
     async def send_requests(self, requests, patience_s=math.inf):
         import msgspec
--- a/tests/test_rankmaps_guard.py
+++ b/tests/test_rankmaps_guard.py
@@ -12,7 +12,17 @@
     FakeGroup,
 )
 
-from mustardfront.coordination.rankmaps import OrderKind, RankOrder, switch
+from mustardfront.coordination.rankmaps import (
+    OrderKind,
+    OrderOutcome,
+    RankOrder,
+    may_give_up,
+    switch,
+)
+from mustardfront.coordination.rankmaps._order_handler import (
+    REVOKE_UPTIME_MIN_S,
+    Revocation,
+)
 
 # The users' bound on how long a stopped agent may hold a group.
 HELD_MAX_S = 0.5
@@ -37,11 +47,17 @@
 
 
 async def run_switch(
-    agents: FakeAgents, boundary: int, frozen: int, *, freezes_coordinator: bool
+    agents: FakeAgents,
+    boundary: int,
+    frozen: int,
+    *,
+    freezes_coordinator: bool,
+    is_cut_off: bool = False,
 ) -> tuple[StandingTime, FakeGroup]:
     """Switch a group from rank 0; freeze an agent after ``boundary`` applied orders.
 
-    The orders that prepare a map do not count.
+    The orders that prepare a map do not count. With ``is_cut_off``, the agent's whole
+    host is frozen.
     """
     group = agents.group
     apply_order = group.apply_order
@@ -54,6 +70,8 @@
         applied += order.kind is not OrderKind.PREPARE
         if applied == boundary and not agents.silent:
             agents.silent.add(frozen)
+            if is_cut_off:
+                agents.cut_off.add(frozen)
             if freezes_coordinator:
                 stopped.cancel()
         return done
@@ -63,7 +81,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(group.run)
         agents.guard_holds(nursery)
-        await trio.sleep(0.3)
+        await trio.sleep(REVOKE_UPTIME_MIN_S)
         members = agents.members(0, "a")
         with stopped:
             states = await members.lock_and_read()
@@ -71,6 +89,7 @@
             await switch(members, states, REPLICATED_LAYERS, 0.25)
         await trio.sleep(FREEZE_S)
         agents.silent.clear()
+        agents.cut_off.clear()
         await trio.sleep(1.0)
         nursery.cancel_scope.cancel()
     return standing, group
@@ -113,6 +132,85 @@
     assert {rank.version for rank in group.ranks} != {0}
 
 
+async def test_group_goes_on_when_the_coordinators_host_freezes_after_the_hold(
+    autojump_clock,
+):
+    """Guards against a group that stands since one of its ranks cannot be armed."""
+    agents = FakeAgents(FakeGroup(5))
+    standing, group = await run_switch(
+        agents, 1, 0, freezes_coordinator=True, is_cut_off=True
+    )
+    assert standing.longest_s <= HELD_MAX_S
+    assert group.violations == []
+    assert {rank.version for rank in group.ranks} == {0}
+
+
+@pytest.mark.parametrize("late_ratio", [0.0, 0.4])
+@pytest.mark.parametrize("boundary", BOUNDARIES)
+async def test_maps_stay_equal_when_the_coordinators_host_freezes(
+    autojump_clock, boundary, late_ratio
+):
+    """Guards against a hold that is given up while a rank is armed or may become so.
+
+    Some orders are executed seconds later, in the time of the freeze.
+    """
+    for seed in range(4):
+        group = FakeGroup(seed)
+        group.late_ratio = late_ratio
+        agents = FakeAgents(group)
+        await run_switch(agents, boundary, 0, freezes_coordinator=True, is_cut_off=True)
+        assert group.violations == []
+
+
+@pytest.mark.parametrize(
+    ("answers", "expected"),
+    [
+        ({1: False, 2: False, 3: False}, True),
+        ({0: True, 1: False, 2: False, 3: False}, True),
+        ({1: False, 2: False}, False),
+        ({1: False, 2: True, 3: False}, False),
+        ({}, False),
+    ],
+)
+def test_hold_is_given_up_only_if_no_other_rank_may_be_armed(answers, expected):
+    assert may_give_up(answers, frozenset(range(4)), 0) is expected
+
+
+async def test_agent_that_revoked_a_step_gives_no_order_to_arm_for_it(autojump_clock):
+    """Guards against a coordinator that wakes and arms a rank after the release."""
+    group = FakeGroup(2)
+    agents = FakeAgents(group)
+    await trio.sleep(REVOKE_UPTIME_MIN_S)
+    members = agents.members(0, "a")
+    await members.lock_and_read()
+    assert await members.revoke(Revocation(1, 9), 1.0) == dict.fromkeys(
+        range(RANKS), False
+    )
+    arm = RankOrder(OrderKind.ARM, 1, version=1, step=9)
+    results = await members.send_orders(dict.fromkeys(range(RANKS), arm))
+    assert {one.outcome for one in results.values()} == {OrderOutcome.REFUSED}
+    assert not group.applied_orders
+
+
+async def test_agent_that_ordered_to_arm_says_so(autojump_clock):
+    """Guards against a release beside an order that is executed late."""
+    group = FakeGroup(2)
+    group.lost_ratio = 1.0
+    agents = FakeAgents(group)
+    await trio.sleep(REVOKE_UPTIME_MIN_S)
+    members = agents.members(0, "a")
+    await members.lock_and_read()
+    await members.send_orders({2: RankOrder(OrderKind.ARM, 1, version=1, step=9)})
+    assert (await members.revoke(Revocation(1, 9), 1.0))[2]
+
+
+async def test_agent_that_has_just_started_promises_nothing(autojump_clock):
+    """Guards against an order of the process before, which this one does not know."""
+    agents = FakeAgents(FakeGroup(2))
+    members = agents.members(0, "a")
+    assert all((await members.revoke(Revocation(1, 9), 1.0)).values())
+
+
 @pytest.mark.parametrize("seed", range(8))
 async def test_coordinator_and_guard_may_act_at_once(autojump_clock, monkeypatch, seed):
     """Guards against two maps when a slow coordinator and the guard both finish."""
@@ -125,7 +223,7 @@
     assert group.violations == []
 
 
-def test_rank_of_another_agent_is_held():
+async def test_rank_of_another_agent_is_held():
     """Guards against a hold that only the coordinator itself can release."""
     agents = FakeAgents(FakeGroup(1))
     assert [agents.members(rank, "a").hold_rank() for rank in range(RANKS)] == [
