Let revocations end: release, or order arms again, whoever recovers the group

Change: the coordinator's agent is not asked, and the patience doubles, so that another relay is tried. The release follows from the proof and needs no lock. Agents tell whether they ordered arms, would know, and were revoked; if any has ordered, nobody can have released the step, and the revocation is lifted. A coordinator that recovers a revoked hold releases it or lifts it the same way.

--- a/src/mustardfront/coordination/rankmaps/_guard.py
+++ b/src/mustardfront/coordination/rankmaps/_guard.py
@@ -16,15 +16,26 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from dataclasses import replace
 from typing import Final
 
 import trio
 
 from mustardfront import events
 from mustardfront.coordination.rankmaps._members import Members
-from mustardfront.coordination.rankmaps._order_handler import GuardedHold, Revocation
-from mustardfront.coordination.rankmaps._switch import Sleep, finish, release
-from mustardfront.coordination.rankmaps._types import ArmedSwitch, RankClient
+from mustardfront.coordination.rankmaps._order_handler import (
+    GuardedHold,
+    Revocation,
+    RevocationAction,
+    RevocationReply,
+)
+from mustardfront.coordination.rankmaps._switch import ORDER_RETRY_S, Sleep, finish
+from mustardfront.coordination.rankmaps._types import (
+    ArmedSwitch,
+    OrderKind,
+    RankClient,
+    RankOrder,
+)
 from mustardfront.results import Err, Ok
 
 # A coordinator that runs has released the group by then, most of the time.
@@ -32,6 +43,8 @@
 GUARD_POLL_S: Final = 0.03
 # Time in which all agents can answer; one round over a large group takes a third of it.
 REVOKE_PATIENCE_S: Final = 0.15
+REVOKE_PATIENCE_MAX_S: Final = 1.2
+RELEASE_TRIES: Final = 40
 # The group reaches the held step within this time, or not at all.
 GUARD_MAX_S: Final = 5.0
 
@@ -47,6 +60,7 @@
     ends_at = trio.current_time() + GUARD_MAX_S
     standing_since: float | None = None
     was_held = False
+    patience_s = REVOKE_PATIENCE_S
     while trio.current_time() < ends_at:
         await sleep(GUARD_POLL_S)
         read = await client.report()
@@ -67,25 +81,34 @@
         standing_since = now_s if standing_since is None else standing_since
         if now_s - standing_since < GUARD_DELAY_S:
             continue
-        if await _end_hold(hold, members, sleep):
+        if await _end_hold(hold, members, client, sleep, patience_s):
             return True
+        # Agents that relay requests may be silent, and others are asked then.
+        patience_s = min(REVOKE_PATIENCE_MAX_S, 2 * patience_s)
     return False
 
 
 def may_give_up(
-    may_be_armed: Mapping[int, bool], ranks: frozenset[int], coordinator: int
+    answers: Mapping[int, RevocationReply], ranks: frozenset[int], coordinator: int
 ) -> bool:
     """Return whether no rank is or can be armed for a held step.
 
-    ``may_be_armed`` are the answers of agents that give no order to arm any more.
+    ``answers`` are those of agents that order no arms for it any more. The rank of the
+    coordinator is armed after all others, so it need not answer.
     """
     others = ranks - {coordinator}
-    return others <= may_be_armed.keys() and not any(
-        may_be_armed[rank] for rank in others
+    return others <= answers.keys() and all(
+        answers[rank].excludes_arming for rank in others
     )
 
 
-async def _end_hold(hold: GuardedHold, members: Members, sleep: Sleep) -> bool:
+async def _end_hold(
+    hold: GuardedHold,
+    members: Members,
+    client: RankClient,
+    sleep: Sleep,
+    patience_s: float,
+) -> bool:
     """Try to end a hold; return whether nothing is left to do here."""
     if await _is_reachable(hold, members):
         if not members.is_locked():
@@ -97,16 +120,31 @@
         await finish(direct, hold.epoch, target, held, sleep)
         # Orders to arm are on their way, so the hold must not be given up any more.
         return True
+    coordinator = hold.guard.coordinator
     revocation = Revocation(hold.epoch, hold.step)
-    answers = await members.revoke(revocation, REVOKE_PATIENCE_S)
-    ranks = frozenset(members.addresses)
-    # A rank whose agent promises nothing could still be armed.
-    if not may_give_up(answers, ranks, hold.guard.coordinator):
+    answers = await members.revoke(revocation, patience_s, without=coordinator)
+    if any(answer.has_ordered for answer in answers.values()):
+        # No agent can have given up this hold, so the switch may still be finished.
+        lift = replace(revocation, action=RevocationAction.LIFT)
+        await members.revoke(lift, REVOKE_PATIENCE_MAX_S, without=coordinator)
+        return True
+    if not may_give_up(answers, frozenset(members.addresses), coordinator):
         return False
     _log_taken_over(hold, members, is_switched=False)
-    # The agent's own rank, whatever lock it has: the release follows from the proof.
-    direct = members.calling_directly([members.own_rank])
-    return await release(direct, hold.epoch, {members.own_rank: hold.step}, sleep)
+    await release_given_up(client, hold.epoch, hold.step, sleep)
+    return True
+
+
+async def release_given_up(
+    client: RankClient, epoch: int, step: int, sleep: Sleep
+) -> None:
+    """Release a step for which no rank can be armed, whoever has the lock."""
+    for _ in range(RELEASE_TRIES):
+        await client.send_order(RankOrder(OrderKind.RELEASE, epoch, step=step))
+        read = await client.report()
+        if isinstance(read, Ok) and read.value.held != step:
+            return
+        await sleep(ORDER_RETRY_S)
 
 
 async def _is_reachable(hold: GuardedHold, members: Members) -> bool:
--- a/src/mustardfront/coordination/rankmaps/_members.py
+++ b/src/mustardfront/coordination/rankmaps/_members.py
@@ -93,20 +93,19 @@
         answers = await self._send({address: request}, patience_s)
         return isinstance(answers.get(address), Ok)
 
-    async def revoke(self, req: Revocation, patience_s: float) -> dict[int, bool]:
-        """Ask the agents to arm their ranks for no step up to one any more.
-
-        Return by rank whether it may be armed or become so, of those that answered.
-        """
+    async def revoke(
+        self, req: Revocation, patience_s: float, *, without: int | None = None
+    ) -> dict[int, RevocationReply]:
+        """Send all agents, or all but one, a revocation; return those that answered."""
+        asked = {rank: one for rank, one in self.addresses.items() if rank != without}
         request = (REVOCATION, msgspec.to_builtins(req))
-        requests = dict.fromkeys(self.addresses.values(), request)
-        answers = await self._send(requests, patience_s)
-        found: dict[int, bool] = {}
-        for rank, address in self.addresses.items():
+        answers = await self._send(dict.fromkeys(asked.values(), request), patience_s)
+        found: dict[int, RevocationReply] = {}
+        for rank, address in asked.items():
             answer = answers.get(address)
             reply = _parse(answer, RevocationReply) if answer is not None else answer
             if isinstance(reply, Ok):
-                found[rank] = reply.value.may_be_armed
+                found[rank] = reply.value
         return found
 
     def calling_directly(self, ranks: Iterable[int]) -> Members:
--- a/src/mustardfront/coordination/rankmaps/_order_handler.py
+++ b/src/mustardfront/coordination/rankmaps/_order_handler.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from enum import StrEnum
 from typing import Any, Final
 
 import msgspec
@@ -112,19 +113,42 @@
     guard: HoldGuard
 
 
+class RevocationAction(StrEnum):
+    """What an agent does about orders to arm for a step."""
+
+    ASK = "ask"
+    REVOKE = "revoke"
+    LIFT = "lift"
+
+
 @dataclass(frozen=True, slots=True)
 class Revocation:
-    """A request to arm the rank for no step up to ``step`` of an epoch any more."""
+    """A request to order no arms for steps up to ``step`` of an epoch any more.
+
+    The agent may also be asked only, or to order arms again.
+    """
 
     epoch: int
     step: int
+    action: RevocationAction = RevocationAction.REVOKE
 
 
 @dataclass(frozen=True, slots=True)
 class RevocationReply:
-    """Whether an agent may ever have ordered its rank to arm for a revoked step."""
+    """What an agent knows about orders to arm its rank for a step.
 
-    may_be_armed: bool
+    ``has_ordered``: it has given one. ``is_certain``: it would know. ``was_revoked``:
+    it gave none any more before this request.
+    """
+
+    has_ordered: bool
+    is_certain: bool
+    was_revoked: bool
+
+    @property
+    def excludes_arming(self) -> bool:
+        """Return whether the rank is not armed, and is not on this agent's order."""
+        return self.is_certain and not self.has_ordered
 
 
 @dataclass(frozen=True, slots=True)
@@ -289,11 +313,18 @@
         return Ok(OrderResult(outcome, state.value if isinstance(state, Ok) else None))
 
     async def _revoke(self, req: Revocation) -> Result[RevocationReply]:
-        """Order no more arms up to a step; tell whether one was ordered before."""
-        self._revoked = max(self._revoked, (req.epoch, req.step))
-        is_new = self._clock() - self._started_s < REVOKE_UPTIME_MIN_S
-        ordered = self._armed[0] == req.epoch and self._armed[1] >= req.step
-        return Ok(RevocationReply(is_new or ordered))
+        """Tell about orders to arm up to a step, and give none any more if asked."""
+        named = (req.epoch, req.step)
+        reply = RevocationReply(
+            has_ordered=self._armed >= named,
+            is_certain=self._clock() - self._started_s >= REVOKE_UPTIME_MIN_S,
+            was_revoked=self._revoked >= named,
+        )
+        if req.action is RevocationAction.REVOKE:
+            self._revoked = max(self._revoked, named)
+        elif req.action is RevocationAction.LIFT and self._revoked == named:
+            self._revoked = (0, 0)
+        return Ok(reply)
 
     def _is_locked_for(self, holder: str) -> bool:
         return bool(holder) and self.holder == holder
--- a/src/mustardfront/coordination/rankmaps/_recover.py
+++ b/src/mustardfront/coordination/rankmaps/_recover.py
@@ -5,20 +5,32 @@
 be armed at every rank, that switch is completed. If it cannot, or if its step is
 unknown, the group switches to a new version of the map in force, which invalidates
 every order to arm an older version.
+
+An agent may have begun to give up the hold (``_guard``): agents then order no arms for
+the step any more. If one has ordered any, nobody can have released the step, and the
+others order them again; if all know that they have not, the step is released.
 """
 
 from __future__ import annotations
 
 from collections.abc import Mapping
+from typing import Final
 
 import trio
 
 from mustardfront import events
 from mustardfront.coordination.rankmaps import _switch
 from mustardfront.coordination.rankmaps._members import Members, States
+from mustardfront.coordination.rankmaps._order_handler import (
+    Revocation,
+    RevocationAction,
+)
 from mustardfront.coordination.rankmaps._types import ArmedSwitch, OrderKind, RankOrder
 from mustardfront.state import LayerMap
 
+# Agents that relay requests may be silent, and others are asked then.
+_SETTLE_PATIENCE_S: Final = 1.2
+
 
 async def recover(
     members: Members, states: States, sleep: _switch.Sleep = trio.sleep
@@ -34,6 +46,8 @@
         armed=sorted((switch.version, switch.step) for switch in armed),
         prepared=sorted({state.report.prepared or 0 for state in states.values()}),
     )
+    if held and not await _settle_given_up(members, epoch, held, sleep):
+        return
     target = _find_target(states, held, armed)
     if target is None:
         await _switch_to_new_version(members, states, sleep)
@@ -44,6 +58,27 @@
         await members.send_orders({members.own_rank: hold})
 
 
+async def _settle_given_up(
+    members: Members, epoch: int, held: Mapping[int, int], sleep: _switch.Sleep
+) -> bool:
+    """Return whether the ranks may be armed for the step that the group is held at."""
+    step = min(held.values())
+    asked = Revocation(epoch, step, RevocationAction.ASK)
+    answers = await members.revoke(asked, _SETTLE_PATIENCE_S)
+    if not any(answer.was_revoked for answer in answers.values()):
+        return True
+    if any(answer.has_ordered for answer in answers.values()):
+        lift = Revocation(epoch, step, RevocationAction.LIFT)
+        await members.revoke(lift, _SETTLE_PATIENCE_S)
+        return True
+    answers = await members.revoke(Revocation(epoch, step), _SETTLE_PATIENCE_S)
+    all_exclude = all(answer.excludes_arming for answer in answers.values())
+    if answers.keys() == members.addresses.keys() and all_exclude:
+        steps = {rank: one for rank, one in held.items() if one == step}
+        await _switch.release(members, epoch, steps, sleep)
+    return False
+
+
 def current_layers(states: States) -> tuple[LayerMap, ...] | None:
     """Return the map in force, assembled from the rows of all ranks, if known."""
     versions = {state.report.version for state in states.values()}
