Use part of the slots, choose sound upstreams first, and share what fails

Change: places are looked for at sound upstreams only. Entries name in their reports the upstreams whose answers are failures. At least 0.8 of the slots is used; more only while streams keep their pace and others wait. The held step has no margin of its own any more.

--- a/src/mustardfront/coordination/rankmaps/_coordinator.py
+++ b/src/mustardfront/coordination/rankmaps/_coordinator.py
@@ -42,12 +42,9 @@
 # Ranks whose state is missing that a log line names.
 _LOGGED_RANKS_MAX: Final = 6
 # The slowest recent arming of the ranks loses this share at each switch.
-_ARM_TIME_DECAY: Final = 0.1
+_ARM_TIME_DECAY: Final = 0.2
 # Assumed before the first switch, whose connections are opened while ranks are armed.
-_ARM_TIME_START_S: Final = 0.2
-# A group that reaches the held step too soon stands, and all its streams pause. A step
-# that is further ahead only delays the new map.
-_ARM_TIME_MARGIN: Final = 1.5
+_ARM_TIME_START_S: Final = 0.15
 _STEPS_AHEAD_MAX: Final = 40
 # Experts that one rank may load in one change; loading more takes longer than the
 # popularity of experts lasts.
@@ -228,7 +225,7 @@
 
     def _steps_ahead(self) -> int:
         """Return how many steps the group makes while its ranks are armed."""
-        steps = math.ceil(_ARM_TIME_MARGIN * self._arm_s * self._steps_per_s) + 1
+        steps = math.ceil(self._arm_s * self._steps_per_s) + 1
         return min(_STEPS_AHEAD_MAX, max(HOLD_STEPS_AHEAD_MIN, steps))
 
     def _limits(self, states: States) -> PlanLimits:
--- a/src/mustardfront/coordination/traffic/_admission.py
+++ b/src/mustardfront/coordination/traffic/_admission.py
@@ -20,6 +20,13 @@
 # One in so many upstreams keeps a slot free of the least urgent requests, so that more
 # urgent ones find a place at once. They may otherwise wait for the end of a stream.
 RESERVING_UPSTREAMS: Final = 4
+# The part of the slots that is used at first, and the least: with fewer, requests wait
+# for longer than the pauses gain. A stream that paused for too long weighs as much as
+# twenty that did not.
+PLACE_RATIO_MIN: Final = 0.8
+PLACE_RATIO_FALL: Final = 0.04
+PLACE_RATIO_RISE: Final = 0.002
+ROUNDING_STEPS: Final = 16
 
 HandleT = TypeVar("HandleT")
 
@@ -112,10 +119,33 @@
         return counts
 
 
-def place_limit(slots: int, key: int, *, is_least_urgent: bool) -> int:
-    """Return the load from which on the upstream ``key`` gets no further request."""
+class PlaceRatio:
+    """Part of the slots that is used, so that streams keep their pace.
+
+    The more requests an engine runs, the longer the pauses between the events of each.
+    The part falls with each stream that paused for too long, and rises with each that
+    did not, as long as requests wait for a place.
+    """
+
+    def __init__(self) -> None:
+        self.ratio = PLACE_RATIO_MIN
+
+    def record_stream(self, *, is_in_pace: bool, has_waiting: bool) -> None:
+        """Record a stream that has ended."""
+        if not is_in_pace:
+            self.ratio = max(PLACE_RATIO_MIN, self.ratio - PLACE_RATIO_FALL)
+        elif has_waiting:
+            self.ratio = min(1.0, self.ratio + PLACE_RATIO_RISE)
+
+
+def place_limit(slots: int, key: int, ratio: float, *, is_least_urgent: bool) -> int:
+    """Return the load from which on the upstream ``key`` gets no further request.
+
+    ``ratio`` is the part of its slots to use; upstreams differ in how it is rounded.
+    """
+    limit = int(slots * ratio + (key % ROUNDING_STEPS) / ROUNDING_STEPS)
     is_reserving = is_least_urgent and key % RESERVING_UPSTREAMS == 0
-    return max(1, slots - 1) if is_reserving else slots
+    return max(1, limit - 1 if is_reserving else limit)
 
 
 class PlaceTurns:
--- a/src/mustardfront/coordination/traffic/_health.py
+++ b/src/mustardfront/coordination/traffic/_health.py
@@ -11,6 +11,8 @@
 # A failed upstream is excluded for this time, doubled with each consecutive failure.
 # It is still used when no other upstream is available.
 BLOCK_MIN_S: Final = 0.4
+# One that answers failures at once would get the most requests in between.
+ANSWERED_BLOCK_MIN_S: Final = 1.0
 BLOCK_MAX_S: Final = 4.0
 # Further failures do not lengthen the exclusion; an unlimited power would overflow.
 BLOCK_DOUBLINGS_MAX: Final = 10
@@ -21,14 +23,23 @@
 GROUP_PAUSE_S: Final = 0.4
 
 
-def exclude_after_failure(upstream: Upstream, now_s: float, reason: str) -> None:
-    """Exclude an upstream temporarily, unless it is excluded already."""
+def exclude_after_failure(
+    upstream: Upstream, now_s: float, reason: str, *, is_answer: bool = False
+) -> None:
+    """Exclude an upstream temporarily, unless it is excluded already.
+
+    ``is_answer`` tells that the failure is the upstream's own answer. Then no path to
+    it is at fault, and the failure holds for other entries too.
+    """
     if now_s < upstream.blocked_until:
         return
     doublings = min(BLOCK_DOUBLINGS_MAX, upstream.failures_in_row)
-    pause_s = min(BLOCK_MAX_S, BLOCK_MIN_S * 2**doublings)
+    first_s = ANSWERED_BLOCK_MIN_S if is_answer else BLOCK_MIN_S
+    pause_s = min(BLOCK_MAX_S, first_s * 2**doublings)
     upstream.failures_in_row += 1
     upstream.blocked_until = now_s + pause_s
+    if is_answer:
+        upstream.failing_until = upstream.blocked_until
     events.log(
         events.Event.UPSTREAM_EJECTED,
         upstream=upstream.instance,
--- a/src/mustardfront/coordination/traffic/_peer_loads.py
+++ b/src/mustardfront/coordination/traffic/_peer_loads.py
@@ -32,13 +32,15 @@
     """The requests that an entry has in flight, by ``upstream_key``.
 
     A higher ``sequence`` is newer, over restarts of the entry too. ``waiting`` is how
-    many requests wait in the entry for a place at an upstream.
+    many requests wait in the entry for a place at an upstream, ``failing`` are the
+    upstreams whose answers to the entry are failures.
     """
 
     entry: str
     sequence: int
     in_flight: Mapping[int, int]
     waiting: int = 0
+    failing: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +61,7 @@
         self._clock = clock
         self._received: dict[str, _Received] = {}
         self._totals: dict[int, int] = {}
+        self._failing: frozenset[int] = frozenset()
 
     @property
     def reporting_count(self) -> int:
@@ -79,8 +82,13 @@
             self._add(known.report, -1)
         self._received[report.entry] = _Received(report, self._clock())
         self._add(report, 1)
+        self._collect_failing()
         return True
 
+    def is_failing(self, key: int) -> bool:
+        """Return whether another entry got failures as answers of an upstream."""
+        return key in self._failing
+
     def in_flight(self, key: int) -> int:
         """Return the requests of all reporting entries at an upstream."""
         return self._totals.get(key, 0)
@@ -93,6 +101,12 @@
         ]
         for name in ended:
             self._add(self._received.pop(name).report, -1)
+        if ended:
+            self._collect_failing()
+
+    def _collect_failing(self) -> None:
+        named = (one.report.failing for one in self._received.values())
+        self._failing = frozenset(key for keys in named for key in keys[:REPORTED_MAX])
 
     def _add(self, report: LoadReport, sign: int) -> None:
         for key, count in report.in_flight.items():
--- a/src/mustardfront/coordination/traffic/_placing.py
+++ b/src/mustardfront/coordination/traffic/_placing.py
@@ -115,19 +115,22 @@
     turns: PlaceTurns,
     released: int | None,
     *,
+    ratio: float = 1.0,
     is_least_urgent: bool,
 ) -> list[Upstream]:
     """Return the candidates that have a place that this entry may take.
 
-    ``own`` are the instances assigned to this entry, ``released`` is the key of an
-    upstream that one of its requests has just left. Of the other upstreams it takes
-    places in its turns.
+    ``ratio`` is the part of the slots that is used. ``own`` are the instances assigned
+    to this entry, ``released`` is the key of an upstream that one of its requests has
+    just left. Of the other upstreams it takes places in its turns.
     """
     return [
         one
         for one in candidates
         if one.in_flight + peers.in_flight(one.key)
-        < place_limit(one.announced.slots, one.key, is_least_urgent=is_least_urgent)
+        < place_limit(
+            one.announced.slots, one.key, ratio, is_least_urgent=is_least_urgent
+        )
         and (one.instance in own or one.key == released or turns.may_take(one.key))
     ]
 
--- a/src/mustardfront/coordination/traffic/_upstream.py
+++ b/src/mustardfront/coordination/traffic/_upstream.py
@@ -22,6 +22,8 @@
     in_flight: int = 0
     failures_in_row: int = 0
     blocked_until: float = 0.0
+    # The end of an exclusion after an answer that was a failure.
+    failing_until: float = 0.0
     refused_until: float = 0.0
     lapsed: bool = False
     leaving: bool = False
--- a/src/mustardfront/coordination/traffic/_upstreams.py
+++ b/src/mustardfront/coordination/traffic/_upstreams.py
@@ -269,9 +269,17 @@
         """Record that the view was complete at ``began_s``."""
         self._confirmed_s = max(began_s, self._confirmed_s or began_s)
 
-    def record_failure(self, upstream: Upstream, reason: str) -> None:
-        """Exclude an upstream temporarily after it failed."""
-        exclude_after_failure(upstream, self._clock(), reason)
+    def record_failure(
+        self, upstream: Upstream, reason: str, *, is_answer: bool = False
+    ) -> None:
+        """Exclude an upstream temporarily after it failed, by its answer or without."""
+        exclude_after_failure(upstream, self._clock(), reason, is_answer=is_answer)
+
+    def failing_keys(self) -> tuple[int, ...]:
+        """Return the keys of upstreams whose answers to this entry were failures."""
+        now = self._clock()
+        upstreams = self._upstreams.values()
+        return tuple(one.key for one in upstreams if now < one.failing_until)
 
     def record_leaving(self, upstream: Upstream) -> None:
         """Send an upstream no more requests, whatever the store announces of it."""
@@ -335,8 +343,9 @@
         reset_failures(upstream)
 
     def is_blocked(self, upstream: Upstream) -> bool:
-        """Return whether an upstream is excluded after failures."""
-        return self._clock() < upstream.blocked_until
+        """Return whether an upstream is excluded after failures, here or elsewhere."""
+        is_blocked = self._clock() < upstream.blocked_until
+        return is_blocked or self.peer_loads.is_failing(upstream.key)
 
     def slowness(self, upstream: Upstream) -> float:
         """Return how much longer than usual an upstream takes, as its agent says."""
--- a/src/mustardfront/programs/gateway/_attempt.py
+++ b/src/mustardfront/programs/gateway/_attempt.py
@@ -95,6 +95,9 @@
         self.event_count = 0
         self.last_activity_at = trio.current_time()
         self._first_event_at: float | None = None
+        self._last_event_at: float | None = None
+        # Between two events of one attempt, in seconds.
+        self.longest_pause_s = 0.0
         # Called at the first event of the current attempt.
         self._on_event: Callable[[], None] | None = None
 
@@ -102,6 +105,7 @@
         """Record that an attempt starts now; call back at its first event."""
         self.record_activity()
         self._on_event = on_first_event
+        self._last_event_at = None
 
     def time_to_first_event_s(self, started_at: float) -> float:
         """Return the time from ``started_at`` to the first event, or until now."""
@@ -119,6 +123,10 @@
             self._on_event = None
         if self._first_event_at is None:
             self._first_event_at = self.last_activity_at
+        if self._last_event_at is not None:
+            pause_s = self.last_activity_at - self._last_event_at
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self._last_event_at = self.last_activity_at
         self.event_count += 1
         if event_id:
             self.last_event_id = event_id
--- a/src/mustardfront/programs/gateway/_choice.py
+++ b/src/mustardfront/programs/gateway/_choice.py
@@ -229,21 +229,23 @@
     own = fwd.state.own_upstreams(req.service)
     compared = compared_upstreams(known, own, random.sample, fwd.state.get)
     foreign_load = expected_foreign_load(known, len(fwd.state.entries))
+    # First, so that full upstreams that are sound do not leave the failing ones.
+    candidates = selectable_upstreams(compared, retry.excluded, fwd.state)
     load: Callable[[Upstream], float] | None = None
     if place is not None:
         peers, entry_count = fwd.state.peer_loads, len(fwd.state.entries)
         load = known_loads(peers, entry_count, own)
         policy = fwd.state.admission_policy(req.service)
-        compared = with_room(
-            compared,
+        candidates = with_room(
+            candidates,
             peers,
             own,
             fwd.state.place_turns,
             place.released,
+            ratio=fwd.places.ratio(req.service),
             is_least_urgent=not retry.attempts_sent
             and req.priority == policy.least_urgent,
         )
-    candidates = selectable_upstreams(compared, retry.excluded, fwd.state)
     groups = frozenset(one.group for one in candidates)
     ratios = {group: fwd.pace.slow_ratio(group, groups) for group in groups}
 
--- a/src/mustardfront/programs/gateway/_forward.py
+++ b/src/mustardfront/programs/gateway/_forward.py
@@ -199,6 +199,9 @@
     if isinstance(result, FullResponse | Streamed):
         elapsed_s = trio.current_time() - started_at
         fwd.answer_times.add(req.route.name, elapsed_s)
+    if isinstance(result, Streamed) and req.route.gap_ms:
+        is_in_pace = progress.longest_pause_s * 1000 <= req.route.gap_ms
+        fwd.places.record_stream(req.service, is_in_pace=is_in_pace)
     if isinstance(result, NotRun):
         retry.may_have_run = may_have_run_before
     if isinstance(result, FullResponse):
@@ -260,7 +263,8 @@
         retry.code, retry.text = result.code, result.text
     if isinstance(result, FullResponse) and _is_failed_stream(req, result):
         # It is free again at once, and would get the more requests the more it fails.
-        fwd.state.record_failure(upstream, f"status {result.status} to a stream")
+        text = f"status {result.status} to a stream"
+        fwd.state.record_failure(upstream, text, is_answer=True)
     elif isinstance(result, FullResponse | Streamed):
         fwd.state.record_success(upstream)
     elif is_replaced:
--- a/src/mustardfront/programs/gateway/_load_exchange.py
+++ b/src/mustardfront/programs/gateway/_load_exchange.py
@@ -22,6 +22,8 @@
 
 # A report of the most upstreams that it may name is shorter.
 DATAGRAM_MAX_BYTES: Final = 1_400
+# Upstreams in a report whose answers are failures.
+FAILING_MAX: Final = 32
 # An entry without requests reports only so often, so that it is known to have none.
 IDLE_INTERVAL_S: Final = 0.4
 # While no service needs reports, the configuration is looked at so often.
@@ -91,6 +93,7 @@
             next(self._numbers),
             reported_loads(loads),
             self._waiting_count(),
+            self._state.failing_keys()[:FAILING_MAX],
         )
 
     async def _send_to_peers(self, sock: trio.socket.SocketType, data: bytes) -> None:
--- a/src/mustardfront/programs/gateway/_places.py
+++ b/src/mustardfront/programs/gateway/_places.py
@@ -12,6 +12,7 @@
 from mustardfront.coordination.traffic import (
     AdmissionQueue,
     Demand,
+    PlaceRatio,
     Upstream,
     Waiter,
 )
@@ -46,6 +47,17 @@
     def __init__(self, clock: Callable[[], float] = trio.current_time) -> None:
         self._clock = clock
         self._queues: dict[str, _Queue] = {}
+        self._ratios: dict[str, PlaceRatio] = {}
+
+    def ratio(self, service: str) -> float:
+        """Return the part of the slots of a service's upstreams that is used."""
+        return self._ratios.setdefault(service, PlaceRatio()).ratio
+
+    def record_stream(self, service: str, *, is_in_pace: bool) -> None:
+        """Record a stream that has ended, and whether its pauses were short enough."""
+        ratio = self._ratios.setdefault(service, PlaceRatio())
+        has_waiting = bool(self._queues.get(service))
+        ratio.record_stream(is_in_pace=is_in_pace, has_waiting=has_waiting)
 
     def waiting_count(self) -> int:
         """Return how many requests wait."""
