Limit the connections and bodies of callers by the memory and descriptors

Cause: an entry took as many connections as came, each with its tasks and buffers, sent answers to callers that do not read without any limit of time, and held 32 MiB of bodies whatever its memory.

Change: programs that serve HTTP accept through a listener of their own. It holds a limited number of connections, derived from the limits of the host; at the limit it closes a caller that does not read, or the oldest connection of the address that holds most. Bodies get a quarter of the memory that is free. TLS is served the same way.

--- a/src/mustardfront/programs/_held.py
+++ b/src/mustardfront/programs/_held.py
@@ -6,7 +6,19 @@
 from contextlib import contextmanager
 from typing import Final
 
+from mustardfront.programs._connections import OWN_MEMORY_BYTES
+
 HELD_MAX_BYTES: Final = 32 * 1024 * 1024
+# A body that is sent is in memory up to three times, beside the program itself.
+HELD_SHARE: Final = 1 / 4
+
+
+def held_limit(memory_bytes: int | None) -> int:
+    """Return how many bytes of bodies a process may hold, by its memory if known."""
+    if memory_bytes is None:
+        return HELD_MAX_BYTES
+    free = max(0, memory_bytes - OWN_MEMORY_BYTES)
+    return min(HELD_MAX_BYTES, int(HELD_SHARE * free))
 
 
 class HeldBytes:
--- a/src/mustardfront/programs/_http.py
+++ b/src/mustardfront/programs/_http.py
@@ -4,12 +4,18 @@
 
 import socket
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any
 
 import trio
 
 from mustardfront.codes import Code
 from mustardfront.metrics import Metrics
+from mustardfront.programs._connections import (
+    CallerConnections,
+    CallerListener,
+    connections_limit,
+)
 from mustardfront.results import Err, Ok, Result
 
 
@@ -41,37 +47,69 @@
     app: Any,
     config: Any,
     stopping: Callable[[], Awaitable[None]],
+    connections: CallerConnections | None = None,
     *,
     task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve ``app`` until ``stopping`` returns, then finish requests in flight.
 
-    ``app`` gets ``http`` scopes only. ``task_status`` gets the bound address
+    ``app`` gets ``http`` scopes only. ``connections`` limits those of callers, by
+    default as the descriptors allow. ``task_status`` gets the bound address
     ``"IP:PORT"``.
     """
-    import hypercorn.trio
+    from hypercorn.trio.tcp_server import TCPServer
+    from hypercorn.trio.worker_context import WorkerContext
+    from hypercorn.typing import ConnectionState
+    from hypercorn.utils import wrap_app
 
     async def handle_scope(scope: Any, receive: Any, send: Any) -> None:
         if scope["type"] == "http":
             await app(scope, receive, send)
-        elif scope["type"] == "lifespan":
-            for state in ("startup", "shutdown"):
-                await receive()
-                await send({"type": f"lifespan.{state}.complete"})
-
-    async with trio.open_nursery() as nursery:
-
-        async def serve(*, task_status: trio.TaskStatus[list[str]]) -> None:
-            await hypercorn.trio.serve(
-                handle_scope,
-                config,
-                shutdown_trigger=stopping,
-                task_status=task_status,
-                mode="asgi",
-            )
 
-        binds = await nursery.start(serve)
-        task_status.started(binds[0].partition("://")[2])
+    if connections is None:
+        connections = CallerConnections(connections_limit())
+    context = WorkerContext(None)
+    wrapped = wrap_app(handle_scope, config.wsgi_max_body_size, "asgi")
+    serve_caller = partial(TCPServer, wrapped, config, context, ConnectionState({}))
+    listeners = _open_listeners(config, connections)
+    async with trio.open_nursery() as callers:
+        async with trio.open_nursery() as accepting:
+            accepting.start_soon(
+                partial(
+                    trio.serve_listeners,
+                    serve_caller,
+                    listeners,
+                    handler_nursery=callers,
+                )
+            )
+            task_status.started(_bound_address(listeners[0]))
+            await stopping()
+            accepting.cancel_scope.cancel()
+        await context.terminated.set()
+        callers.cancel_scope.deadline = trio.current_time() + config.graceful_timeout
+
+
+def _open_listeners(config: Any, connections: CallerConnections) -> list[Any]:
+    """Listen on the sockets of a configuration, with TLS where it asks for that."""
+    sockets = config.create_sockets()
+    ssl_context = config.create_ssl_context()
+    found: list[Any] = []
+    for sock in (*sockets.secure_sockets, *sockets.insecure_sockets):
+        sock.listen(config.backlog)
+        listener = trio.SocketListener(trio.socket.from_stdlib_socket(sock))
+        callers = CallerListener(listener, connections)
+        if sock in sockets.secure_sockets:
+            tls = trio.SSLListener(callers, ssl_context, https_compatible=True)
+            found.append(tls)
+        else:
+            found.append(callers)
+    return found
+
+
+def _bound_address(listener: Any) -> str:
+    transport = getattr(listener, "transport_listener", listener)
+    host, port = transport.socket.getsockname()[:2]
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
 
 
 async def send_text(send: Any, status: int, body: bytes) -> None:
--- a/src/mustardfront/programs/agent/_main.py
+++ b/src/mustardfront/programs/agent/_main.py
@@ -24,6 +24,7 @@
 from mustardfront.log_sink import LogSink
 from mustardfront.metrics import Metrics
 from mustardfront.programs._clock import boottime_clock
+from mustardfront.programs._connections import CallerConnections
 from mustardfront.programs._http import (
     bind_socket,
     make_metrics_app,
@@ -45,6 +46,7 @@
 CANDIDATE_DELAY_PER_RANK_S: Final = 0.7
 # Connections to other agents that have not been used for this long are closed.
 CONNECTION_IDLE_S: Final = 10.0
+METRICS_CONNECTIONS_MAX: Final = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,7 +143,8 @@
     sock.listen()
     await trio.lowlevel.wait_readable(sock)
     config = server_config(sock, grace_s=0)
-    await serve_asgi(make_metrics_app(metrics), config, trio.sleep_forever)
+    few = CallerConnections(METRICS_CONNECTIONS_MAX)
+    await serve_asgi(make_metrics_app(metrics), config, trio.sleep_forever, few)
 
 
 async def _stop_on_signal(scope: trio.CancelScope) -> None:
--- a/src/mustardfront/programs/gateway/_app.py
+++ b/src/mustardfront/programs/gateway/_app.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Final
 
 import trio
@@ -11,6 +11,7 @@
 from mustardfront import events
 from mustardfront.codes import Code, Outcome
 from mustardfront.metrics import Metrics
+from mustardfront.programs._connections import CallerConnections, connections_limit
 from mustardfront.programs._held import Hold
 from mustardfront.programs._http import send_text
 from mustardfront.programs.gateway._choice import Forwarder
@@ -41,6 +42,9 @@
     is_ready: Callable[[], bool]
     is_draining: Callable[[], bool]
     open_requests: int = 0
+    connections: CallerConnections = field(
+        default_factory=lambda: CallerConnections(connections_limit())
+    )
 
 
 def make_app(frontend: Frontend) -> AsgiApp:
--- a/src/mustardfront/programs/gateway/_main.py
+++ b/src/mustardfront/programs/gateway/_main.py
@@ -26,6 +26,8 @@
 from mustardfront.log_sink import LogSink
 from mustardfront.metrics import Metrics
 from mustardfront.programs._clock import boottime_clock
+from mustardfront.programs._connections import CallerConnections, connections_limit
+from mustardfront.programs._held import HeldBytes, held_limit
 from mustardfront.programs._http import (
     bind_socket,
     make_metrics_app,
@@ -45,6 +47,8 @@
 from mustardfront.results import Err, Ok, Result
 
 SETTING_EXIT_CODE: Final = 2
+# Readiness checks and metrics come from a few callers of the platform.
+SIDE_CONNECTIONS_MAX: Final = 16
 # Limit of the request line and headers; it holds before the configuration is known.
 HEADER_MAX_BYTES: Final = 64 * 1024
 # Added to the configured idle timeout of caller connections.
@@ -73,7 +77,8 @@
     than ``view_age_max_s`` (None: never). Within the window of the retry budget, all
     entries together may retry the share ``retry_ratio`` of a service's requests, plus
     ``retry_extra`` requests. ``regions`` are the regions of places. Entries report
-    their loads to each other on ``peer_listen`` (None: they do not).
+    their loads to each other on ``peer_listen`` (None: they do not). ``memory_bytes``
+    and ``descriptors`` are the process's limits (None: not known).
     """
 
     host: str
@@ -88,6 +93,8 @@
     retry_extra: float
     regions: Mapping[str, str] = field(default_factory=dict)
     peer_listen: tuple[str, int] | None = None
+    memory_bytes: int | None = None
+    descriptors: int | None = None
 
 
 class LiveSettings:
@@ -294,12 +301,16 @@
             crash_reporter,
             Outbox(lambda: random.uniform(*NOTICE_DELAY_S)),
             settings.regions,
+            held=HeldBytes(held_limit(settings.memory_bytes)),
         ),
         metrics=metrics,
         is_ready=is_ready,
         # An entry that is not ready also closes connections, so that its callers
         # reconnect to another entry.
         is_draining=lambda: shutdown.draining.is_set() or not is_ready(),
+        connections=CallerConnections(
+            connections_limit(settings.memory_bytes, settings.descriptors)
+        ),
     )
     metrics.gauge("mustardfront_config_version", lambda: float(state.version))
     metrics.gauge("mustardfront_view_age_seconds", state.age_s)
@@ -309,6 +320,12 @@
     metrics.gauge(
         "mustardfront_cold_upstreams", lambda: float(state.warm_ups.cold_count())
     )
+    metrics.gauge(
+        "mustardfront_caller_connections", lambda: float(frontend.connections.count)
+    )
+    metrics.gauge(
+        "mustardfront_callers_closed", lambda: float(frontend.connections.closed_count)
+    )
     places = frontend.forwarder.places
     metrics.gauge(
         "mustardfront_requests_waiting", lambda: float(places.waiting_count())
@@ -356,10 +373,17 @@
         (make_metrics_app(frontend.metrics), metrics),
     )
     for app, config in side_apps:
-        await nursery.start(partial(serve_asgi, app, config, shutdown.stopping.wait))
+        few = CallerConnections(SIDE_CONNECTIONS_MAX)
+        await nursery.start(
+            partial(serve_asgi, app, config, shutdown.stopping.wait, few)
+        )
     async with trio.open_nursery() as serving:
         await serving.start(
-            serve_asgi, make_app(frontend), callers, shutdown.stopping.wait
+            serve_asgi,
+            make_app(frontend),
+            callers,
+            shutdown.stopping.wait,
+            frontend.connections,
         )
         events.log(events.Event.PROCESS_READY, addresses={"listen": settings.listen})
     return None
