--- a/specs/timed_switch.py
+++ b/specs/timed_switch.py
@@ -221,13 +221,13 @@
 
 
 def _revoke(step: int, now: State, after: State) -> Formula:
-    """Let no order to arm for a step be sent any more; this is allowed at any time."""
+    """Let no order to arm for a step be sent any more; allowed at any time."""
     return z3.And(after[f"x{step}"], unchanged_except(now, after, f"x{step}"))
 
 
 def _never_sent(now: State, step: int) -> Formula:
     """Return whether no order to arm for a step was sent."""
-    return z3.And([z3.Not(now[f"a{version}{step}"]) for version in VERSIONS])
+    return z3.Not(z3.Or([now[f"a{version}{step}"] for version in VERSIONS]))
 
 
 def _order_disarm(version: int, defect: Defect, now: State, after: State) -> Formula:
@@ -268,10 +268,8 @@
             [z3.And(_all_prepared(now, one), _is_new(now, one)) for one in VERSIONS]
         )
         allowed = z3.Or(allowed, z3.And(_none_armed(now), z3.Not(armable)))
-    given_up = _never_sent(now, step)
-    if defect != "unrevoked-release":
-        given_up = z3.And(now[f"x{step}"], given_up)
-    allowed = z3.Or(allowed, given_up)
+    is_revoked = z3.Or(now[f"x{step}"], defect == "unrevoked-release")
+    allowed = z3.Or(allowed, z3.And(is_revoked, _never_sent(now, step)))
     held = now[f"held{holder}"] == step
     return z3.And(held, allowed, after[sent], unchanged_except(now, after, sent))
 
--- a/src/mustardfront/coordination/traffic/_upstreams.py
+++ b/src/mustardfront/coordination/traffic/_upstreams.py
@@ -10,12 +10,7 @@
 
 from mustardfront import events
 from mustardfront.coordination.quarantine import CrashEvidence, CrashReport
-from mustardfront.coordination.traffic._admission import (
-    AdmissionPolicy,
-    PlaceTurns,
-    admission_policy,
-)
-from mustardfront.coordination.traffic._assignment import assign_upstreams
+from mustardfront.coordination.traffic._admission import PlaceTurns
 from mustardfront.coordination.traffic._backoff import Backoffs
 from mustardfront.coordination.traffic._ended import EndedUpstreams
 from mustardfront.coordination.traffic._entries import KnownEntries
@@ -33,17 +28,13 @@
     pause_ranks,
     reset_failures,
 )
+from mustardfront.coordination.traffic._index import ServiceIndex
 from mustardfront.coordination.traffic._peer_loads import PeerLoads
 from mustardfront.coordination.traffic._rate_limits import RateLimitNotice, RateLimits
 from mustardfront.coordination.traffic._routes import RouteTable
 from mustardfront.coordination.traffic._upstream import Upstream, superseded_upstreams
-from mustardfront.coordination.traffic._warm_up import WarmUps
-from mustardfront.state import (
-    TrafficConfig,
-    UpstreamInstance,
-    UpstreamState,
-    WarmUpLimit,
-)
+from mustardfront.coordination.traffic._warm_up import WarmUps, begin_warm_ups
+from mustardfront.state import TrafficConfig, UpstreamInstance, UpstreamState
 
 
 class TrafficState:
@@ -58,17 +49,12 @@
         self.configured = trio.Event()
         self._clock = clock
         self._confirmed_s: float | None = None
-        self._entry = entry
         self._entries = KnownEntries()
         self._evacuations = Evacuations()
         self._store_returned = trio.Event()
         self._upstreams: dict[str, Upstream] = {}
         self._ended = EndedUpstreams()
-        self._by_service: dict[str, tuple[Upstream, ...]] = {}
-        # Services whose upstreams are all in evacuated places.
-        self._evacuated_services: frozenset[str] = frozenset()
-        # The upstreams of a service that are assigned to this entry.
-        self._own: dict[str, frozenset[str]] = {}
+        self.index = ServiceIndex(entry)
         # By address; an agent knows the upstream on its host by its address.
         self._slowness: dict[tuple[str, int], float] = {}
         self._listeners: list[Callable[[], None]] = []
@@ -80,7 +66,6 @@
         self.warm_ups = WarmUps(clock, entry)
         self.peer_loads = PeerLoads(clock)
         self.place_turns = PlaceTurns(random.random)
-        self._policies: dict[str, AdmissionPolicy] = {}
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` after each change of the configuration or upstreams."""
@@ -122,46 +107,14 @@
 
     def upstreams_of(self, service: str) -> tuple[Upstream, ...]:
         """Return the service's upstreams that accept new requests."""
-        return self._by_service.get(service, ())
+        return self.index.upstreams_of(service)
 
     def entry_address(self, name: str) -> tuple[str, int] | None:
         """Return where an entry takes the reports of others; None if nowhere."""
         return self._entries.address(name)
 
-    @property
-    def shares_loads(self) -> bool:
-        """Return whether a service needs that entries report their loads."""
-        services = self.routes.config.services if self.routes else ()
-        return any(self.admission_policy(service).is_on for service in services)
-
-    def admission_policy(self, service: str) -> AdmissionPolicy:
-        """Return whether requests of a service wait in the entries."""
-        if self.routes is None:
-            return AdmissionPolicy(False)
-        if service not in self._policies:
-            groups = {
-                one.group
-                for one in self._upstreams.values()
-                if one.announced.service == service
-            }
-            self._policies[service] = admission_policy(
-                self.routes.config, service, len(groups)
-            )
-        return self._policies[service]
-
-    def is_evacuated(self, service: str) -> bool:
-        """Return whether all upstreams of a service are in evacuated places."""
-        return service in self._evacuated_services
-
-    def own_upstreams(self, service: str) -> frozenset[str]:
-        """Return the instances of a service that are assigned to this entry."""
-        if service not in self._own:
-            upstreams = self.upstreams_of(service)
-            self._own[service] = assign_upstreams(upstreams, self.entries, self._entry)
-        return self._own[service]
-
     def all_upstreams(self) -> Iterable[Upstream]:
-        """Return all known upstreams, those that take no requests included."""
+        """Return all known upstreams, with those that take no requests."""
         return self._upstreams.values()
 
     def get(self, instance: str) -> Upstream | None:
@@ -278,8 +231,7 @@
     def failing_keys(self) -> tuple[int, ...]:
         """Return the keys of upstreams whose answers to this entry were failures."""
         now = self._clock()
-        upstreams = self._upstreams.values()
-        return tuple(one.key for one in upstreams if now < one.failing_until)
+        return tuple(one.key for one in self.all_upstreams() if now < one.failing_until)
 
     def record_leaving(self, upstream: Upstream) -> None:
         """Send an upstream no more requests, whatever the store announces of it."""
@@ -315,7 +267,9 @@
     def wait_s(self, upstream: Upstream) -> float:
         """Return after how many seconds an upstream may get a request; 0 if now."""
         incarnation = upstream.incarnation
-        is_own = upstream.instance in self.own_upstreams(upstream.announced.service)
+        is_own = upstream.instance in self.index.own_upstreams(
+            upstream.announced.service
+        )
         return max(
             self.backoffs.left_s(incarnation),
             self.rate_limits.wait_s(incarnation),
@@ -332,7 +286,7 @@
 
         Its process has ended, most likely, and the next one may have the same name.
         """
-        self._begin_warm_up(upstream, None, "connection")
+        self._begin_warm_up([upstream], None, "connection")
 
     def is_refusing(self, upstream: Upstream) -> bool:
         """Return whether an upstream is paused after a refusal."""
@@ -391,7 +345,7 @@
         changed = known.announced.state is not announced.state
         known.announced, known.lapsed = announced, False
         if is_news and announced.warmup_ms > 0:
-            self._begin_warm_up(known, announced.warmup_ms / 1000, "announcement")
+            self._begin_warm_up([known], announced.warmup_ms / 1000, "announcement")
         if changed:
             events.log(
                 events.Event.UPSTREAM_STATE,
@@ -400,27 +354,15 @@
             )
 
     def _begin_warm_up(
-        self, upstream: Upstream, duration_s: float | None, source: str
+        self, upstreams: Iterable[Upstream], duration_s: float | None, source: str
     ) -> None:
-        """Limit the requests to a cold upstream; None: for the whole warm-up."""
-        limit = self._warm_up_limit(upstream.announced.service)
-        if limit is not None:
-            self.warm_ups.begin(
-                upstream.incarnation,
-                limit.per_s,
-                limit.duration_s if duration_s is None else duration_s,
-                source,
-            )
-
-    def _warm_up_limit(self, service: str) -> WarmUpLimit | None:
-        found = self.routes.config.services.get(service) if self.routes else None
-        return found.warm_up if found is not None else None
+        cfg = self.routes.config if self.routes else None
+        begin_warm_ups(self.warm_ups, cfg, upstreams, duration_s, source)
 
     def _cool_places(self, places: frozenset[str]) -> None:
         """Treat the upstreams of places that were taken back as cold."""
-        for upstream in self._upstreams.values():
-            if upstream.announced.place in places:
-                self._begin_warm_up(upstream, None, "place")
+        cold = [one for one in self.all_upstreams() if one.announced.place in places]
+        self._begin_warm_up(cold, None, "place")
 
     def _superseded(self) -> set[str]:
         named = self.routes.config.services if self.routes else None
@@ -452,18 +394,11 @@
 
     def _rebuild_index(self) -> None:
         self._set_superseded(self._superseded())
-        by_service: dict[str, list[Upstream]] = {}
-        evacuated_services = set()
-        for upstream in self._upstreams.values():
-            if not upstream.takes_work or upstream.superseded:
-                continue
-            if upstream.announced.place in self.evacuated_places:
-                evacuated_services.add(upstream.announced.service)
-            else:
-                by_service.setdefault(upstream.announced.service, []).append(upstream)
-        self._by_service = {name: tuple(found) for name, found in by_service.items()}
-        self._evacuated_services = frozenset(evacuated_services - by_service.keys())
-        self._own.clear()
-        self._policies.clear()
+        self.index.rebuild(
+            self._upstreams.values(),
+            self.evacuated_places,
+            self.entries,
+            self.routes.config if self.routes else None,
+        )
         for listener in self._listeners:
             listener()
--- a/src/mustardfront/coordination/traffic/_warm_up.py
+++ b/src/mustardfront/coordination/traffic/_warm_up.py
@@ -16,6 +16,8 @@
 
 from mustardfront import events
 from mustardfront.coordination.traffic._rate_limits import sharing_entries
+from mustardfront.coordination.traffic._upstream import Upstream
+from mustardfront.state import TrafficConfig
 
 # Part of an owner's requests of a second that it may send at once.
 OWNER_BURST_RATIO: Final = 0.25
@@ -173,3 +175,23 @@
     left = limit_per_s - others
     burst = max(1.0, OWNER_BURST_RATIO * left)
     return WarmUpShare(burst, max(left - burst, left / 2))
+
+
+def begin_warm_ups(
+    warm_ups: WarmUps,
+    cfg: TrafficConfig | None,
+    upstreams: Iterable[Upstream],
+    duration_s: float | None,
+    source: str,
+) -> None:
+    """Limit the requests to cold upstreams whose services name a warm-up.
+
+    ``duration_s`` None is the whole warm-up.
+    """
+    services = cfg.services if cfg is not None else {}
+    for upstream in upstreams:
+        service = services.get(upstream.announced.service)
+        if service is None or service.warm_up is None:
+            continue
+        left_s = service.warm_up.duration_s if duration_s is None else duration_s
+        warm_ups.begin(upstream.incarnation, service.warm_up.per_s, left_s, source)
--- a/src/mustardfront/programs/gateway/_choice.py
+++ b/src/mustardfront/programs/gateway/_choice.py
@@ -94,7 +94,7 @@
     wait_ends_at = req.arrived_at + UPSTREAM_WAIT_RATIO * (
         req.deadline_at - req.arrived_at
     )
-    if fwd.state.admission_policy(req.service).is_on:
+    if fwd.state.index.admission_policy(req.service).is_on:
         return await _wait_for_place(fwd, req, retry, wait_ends_at)
     while True:
         if _must_refuse(fwd, req, retry):
@@ -166,7 +166,7 @@
 
 def _may_be_served(fwd: Forwarder, req: GatewayRequest, retry: RetryState) -> bool:
     """Return whether waiting can help; if not, set the reason for the refusal."""
-    if fwd.state.is_evacuated(req.service):
+    if fwd.state.index.is_evacuated(req.service):
         retry.text = "all upstreams of the service are in evacuated places"
     elif not _has_allowed_place(fwd, req):
         retry.text = "the allowed regions have no upstream of the service"
@@ -190,7 +190,7 @@
     """
     known = compared_upstreams(
         known_upstreams(fwd, req),
-        fwd.state.own_upstreams(req.service),
+        fwd.state.index.own_upstreams(req.service),
         random.sample,
         fwd.state.get,
     )
@@ -226,7 +226,7 @@
     With a wait for a ``place``, upstreams whose places are taken are not available.
     """
     known = known_upstreams(fwd, req)
-    own = fwd.state.own_upstreams(req.service)
+    own = fwd.state.index.own_upstreams(req.service)
     compared = compared_upstreams(known, own, random.sample, fwd.state.get)
     foreign_load = expected_foreign_load(known, len(fwd.state.entries))
     # First, so that full upstreams that are sound do not leave the failing ones.
@@ -235,7 +235,7 @@
     if place is not None:
         peers, entry_count = fwd.state.peer_loads, len(fwd.state.entries)
         load = known_loads(peers, entry_count, own)
-        policy = fwd.state.admission_policy(req.service)
+        policy = fwd.state.index.admission_policy(req.service)
         candidates = with_room(
             candidates,
             peers,
--- a/src/mustardfront/programs/gateway/_load_exchange.py
+++ b/src/mustardfront/programs/gateway/_load_exchange.py
@@ -69,7 +69,7 @@
     async def _send(self, sock: trio.socket.SocketType) -> None:
         idle_s = 0.0
         while True:
-            if not self._state.shares_loads:
+            if not self._state.index.shares_loads:
                 await trio.sleep(OFF_INTERVAL_S)
                 continue
             await trio.sleep(REPORT_INTERVAL_S)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -8,7 +8,8 @@
 import msgspec
 import pytest
 import trio
-from bench._shared_fleet import Decision, FleetLoad, FleetResult, FleetRun, KindLoad
+from bench._shared_fleet import FleetRun
+from bench._shared_load import Decision, FleetLoad, FleetResult, KindLoad
 
 from gateway_fakes import (
     FakeUpstream,
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -124,7 +124,7 @@
         assert [one.instance for one in state.upstreams_of("svc")] == ["w2"]
         store.put("op/evacuate/zone-b", {})
         await wait_until(lambda: not state.upstreams_of("svc"))
-        assert state.is_evacuated("svc")
+        assert state.index.is_evacuated("svc")
         store.remove("op/evacuate/zone-a")
         await wait_until(lambda: len(state.upstreams_of("svc")) == 1)
         nursery.cancel_scope.cancel()
