--- a/src/mustardfront/coordination/traffic/_admission.py
+++ b/src/mustardfront/coordination/traffic/_admission.py
@@ -177,22 +177,19 @@
 class AdmissionPolicy:
     """Whether requests of a service wait in the entries.
 
-    ``least_urgent`` is the priority of its least urgent routes, None where all its
-    routes have one priority.
+    ``least_urgent`` is the priority of its least urgent routes, None where they do not.
     """
 
     is_on: bool
     least_urgent: int | None = None
 
 
-def admission_policy(
-    cfg: TrafficConfig, service: str, group_count: int
-) -> AdmissionPolicy:
-    """Return the policy of a service whose upstreams form ``group_count`` groups.
+def admission_policy(cfg: TrafficConfig, service: str) -> AdmissionPolicy:
+    """Return the policy of a service.
 
     Requests wait in the entries where some routes of a service with engines are more
-    urgent than others, and where one lock-step group is the whole service, since
-    nothing else can serve the requests that a stall of that group holds back.
+    urgent than others. Where all are equal, waiting here gains nothing over waiting at
+    the upstreams.
     """
     found = cfg.services.get(service)
     if found is None or found.engine is None:
@@ -204,4 +201,4 @@
     }
     if len(priorities) > 1:
         return AdmissionPolicy(True, max(priorities))
-    return AdmissionPolicy(group_count == 1)
+    return AdmissionPolicy(False)
--- a/src/mustardfront/coordination/traffic/_index.py
+++ b/src/mustardfront/coordination/traffic/_index.py
@@ -25,7 +25,6 @@
         self._entries: Collection[str] = ()
         self._config: TrafficConfig | None = None
         self._by_service: dict[str, tuple[Upstream, ...]] = {}
-        self._groups: dict[str, set[str]] = {}
         # Services whose upstreams are all in evacuated places.
         self._evacuated: frozenset[str] = frozenset()
         self._own: dict[str, frozenset[str]] = {}
@@ -40,11 +39,9 @@
     ) -> None:
         """Index all known upstreams anew."""
         by_service: dict[str, list[Upstream]] = {}
-        groups: dict[str, set[str]] = {}
         evacuated = set()
         for upstream in upstreams:
             service = upstream.announced.service
-            groups.setdefault(service, set()).add(upstream.group)
             if not upstream.takes_work or upstream.superseded:
                 continue
             if upstream.announced.place in evacuated_places:
@@ -52,7 +49,6 @@
             else:
                 by_service.setdefault(service, []).append(upstream)
         self._by_service = {name: tuple(found) for name, found in by_service.items()}
-        self._groups = groups
         self._evacuated = frozenset(evacuated - by_service.keys())
         self._entries = entries
         self._config = cfg
@@ -79,9 +75,7 @@
         if self._config is None:
             return AdmissionPolicy(False)
         if service not in self._policies:
-            group_count = len(self._groups.get(service, ()))
-            policy = admission_policy(self._config, service, group_count)
-            self._policies[service] = policy
+            self._policies[service] = admission_policy(self._config, service)
         return self._policies[service]
 
     @property
