--- a/src/mustardfront/coordination/rankmaps/_members.py
+++ b/src/mustardfront/coordination/rankmaps/_members.py
@@ -15,6 +15,7 @@
 from mustardfront.coordination.rankmaps._order_handler import (
     GUARD_REQUEST,
     ORDER_REQUEST,
+    ORDER_TRIES,
     REVOCATION,
     STATE_QUERY,
     GroupMember,
@@ -226,10 +227,15 @@
 
         async def order_directly(rank: int) -> None:
             client = self.direct_clients[rank]
-            if not self.is_locked():
-                results[rank] = OrderResult(OrderOutcome.UNKNOWN, None)
-                return
-            outcome = await client.send_order(orders[rank])
+            outcome = OrderOutcome.UNKNOWN
+            for _ in range(ORDER_TRIES):
+                # This process may have been paused since the lock was checked.
+                if not self.is_locked():
+                    results[rank] = OrderResult(OrderOutcome.UNKNOWN, None)
+                    return
+                outcome = await client.send_order(orders[rank])
+                if outcome is not OrderOutcome.UNKNOWN:
+                    break
             results[rank] = OrderResult(outcome, await _read_directly(client))
 
         async with trio.open_nursery() as nursery:
--- a/src/mustardfront/coordination/rankmaps/_switch.py
+++ b/src/mustardfront/coordination/rankmaps/_switch.py
@@ -52,8 +52,9 @@
 # The map is abandoned when ranks take this much longer than the expected loading time.
 PREPARE_SLACK_S: Final = 1.2
 HOLD_TRIES: Final = 3
-# While a group is held it serves nobody, so agents have less time to answer.
-HELD_PATIENCE_S: Final = 0.2
+# While a group is held it serves nobody, so agents have less time to answer. They may
+# need all tries of an order that their rank leaves unanswered.
+HELD_PATIENCE_S: Final = 0.3
 # Rounds of orders in one call that arms or releases; the next poll tries again.
 ORDER_ROUNDS_MAX: Final = 40
 
