--- a/src/mustardfront/coordination/rankmaps/_switch.py
+++ b/src/mustardfront/coordination/rankmaps/_switch.py
@@ -318,6 +318,8 @@
 ) -> bool:
     """Release the held steps, given by rank; return whether all are released."""
     pending = dict(held)
+    # An agent that stopped meanwhile must not delay the release.
+    members = members.calling_directly(pending)
     for _ in range(ORDER_ROUNDS_MAX):
         results = await members.send_orders(
             {
@@ -326,7 +328,6 @@
             },
             patience_s=HELD_PATIENCE_S,
         )
-        members = members.calling_directly(_silent_ranks(results))
         for rank, result in results.items():
             if result.state is None:
                 continue
