--- a/src/mustardfront/programs/_connections.py
+++ b/src/mustardfront/programs/_connections.py
@@ -22,8 +22,8 @@
 
 # Descriptors of a process that are not for connections: files, listeners, the store.
 OWN_DESCRIPTORS: Final = 264
-# Each caller's connection may need one to an upstream.
-DESCRIPTORS_PER_CONNECTION: Final = 2
+# Each caller's connection may need one to an upstream, and one that is being closed.
+DESCRIPTORS_PER_CONNECTION: Final = 3
 # Memory of an entry without callers, with room for a large configuration.
 OWN_MEMORY_BYTES: Final = 56 * 1024 * 1024
 # Memory that a connection takes with its tasks and buffers, without bodies.
