--- a/review/6/case.py
+++ b/review/6/case.py
@@ -15,11 +15,11 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from common.config import config  # noqa: E402
-from common.processes import Agent, CannotRunError, free_port  # noqa: E402
-from common.ranks import Group, Rank  # noqa: E402
-from common.record import Record, has_trouble, run_case  # noqa: E402
-from common.store import Store  # noqa: E402
+from case_config import config  # noqa: E402
+from case_processes import Agent, CannotRunError, free_port  # noqa: E402
+from case_ranks import Group, Rank  # noqa: E402
+from case_record import Record, has_trouble, run_case  # noqa: E402
+from case_store import Store  # noqa: E402
 
 RANKS = 8
 # All agents run for over ten seconds before anything happens.
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -13,9 +13,9 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from common.ledger import play_ledger  # noqa: E402
-from common.record import Record, run_case  # noqa: E402
-from common.workers import Worker  # noqa: E402
+from case_ledger import play_ledger  # noqa: E402
+from case_record import Record, run_case  # noqa: E402
+from case_workers import Worker  # noqa: E402
 
 WORKERS = 15
 SLOW_WORKERS = 6
--- a/review/common/clients.py
+++ b/review/case_clients.py
@@ -6,9 +6,9 @@
 import itertools
 from dataclasses import dataclass, field
 
-from common.config import HOST, KEY
-from common.record import Record
-from common.wire import GONE, message, read_body, read_head
+from case_config import HOST, KEY
+from case_record import Record
+from case_wire import GONE, message, read_body, read_head
 
 PAUSE_S = 0.05
 CONNECT_MAX_S = 1.0
--- a/review/common/ledger.py
+++ b/review/case_ledger.py
@@ -6,13 +6,13 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from common.clients import Crowd
-from common.config import config
-from common.platform import Keeper
-from common.processes import ENTRY_MEMORY_MB, ROOT, CannotRunError, Entry
-from common.record import Record, has_trouble
-from common.store import Store
-from common.workers import Worker
+from case_clients import Crowd
+from case_config import config
+from case_platform import Keeper
+from case_processes import ENTRY_MEMORY_MB, ROOT, CannotRunError, Entry
+from case_record import Record, has_trouble
+from case_store import Store
+from case_workers import Worker
 
 WORKERS = 3
 WORK_S = 0.6
--- a/review/common/platform.py
+++ b/review/case_platform.py
@@ -5,8 +5,8 @@
 import asyncio
 import signal
 
-from common.processes import Entry
-from common.record import Record
+from case_processes import Entry
+from case_record import Record
 
 LOOK_S = 0.05
 RESTART_DELAY_S = 1.0
--- a/review/common/processes.py
+++ b/review/case_processes.py
@@ -10,9 +10,9 @@
 import time
 from pathlib import Path
 
-from common.wire import GONE, read_head
+from case_wire import GONE, read_head
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 READY_MAX_S = 20.0
 # As in the deploy file; the same on all machines.
 METRICS_PORT = 9464
--- a/review/common/ranks.py
+++ b/review/case_ranks.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from common.config import ENGINE
-from common.record import Record
-from common.store import Store
-from common.wire import GONE, message, read_body, read_head
+from case_config import ENGINE
+from case_record import Record
+from case_store import Store
+from case_wire import GONE, message, read_body, read_head
 
 PASS_S = 0.02
 HEARTBEAT_S = 1.2
--- a/review/common/record.py
+++ b/review/case_record.py
@@ -11,7 +11,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from common.processes import CannotRunError
+from case_processes import CannotRunError
 
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 RUN_MAX_S = 110.0
--- a/review/common/store.py
+++ b/review/case_store.py
@@ -10,7 +10,7 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from common.wire import GONE, message, read_body, read_head
+from case_wire import GONE, message, read_body, read_head
 
 Reply = tuple[int, dict[str, Any]]
 PAGE_ITEMS = 500
--- a/review/common/workers.py
+++ b/review/case_workers.py
@@ -6,8 +6,8 @@
 import random
 import time
 
-from common.store import Store
-from common.wire import GONE, message, read_body, read_head
+from case_store import Store
+from case_wire import GONE, message, read_body, read_head
 
 HEARTBEAT_S = 1.2
 SLOTS = 6
