Arm no rank for a step that agents have revoked, on any path

A guard that could not give a hold up yet, since an agent was younger than 10 s, armed the coordinator's rank directly once its host woke. The other agents refused, and a later recovery released the step because no agent knew of the order.

The specification has the direct order and the end of a promise, and defects for both.

--- a/specs/timed_switch.py
+++ b/specs/timed_switch.py
@@ -16,15 +16,22 @@
 rank holds, 0 none; two of the ranks accept hold orders. Orders that were sent: ``p``
 prepare, ``h`` hold, ``a`` arm, ``d`` disarm, ``r`` release. ``x``: a step for which no
 order to arm is sent any more; the agents have promised that. A held step is released
-for a revoked step too, if no order to arm for it was ever sent.
-Sources: ``coordination/rankmaps/_switch.py``, ``_guard.py``, ``tests/rank_fakes.py``.
+for a revoked step too, if no order to arm for it was ever sent. ``b``: an order to arm
+that was sent to a rank directly, past its agent. No agent notes it or refuses it for a
+revoked step, so it is sent only after an agent has noted an order ``a`` for the step.
+A promise may be lifted again until the step is released, and afterwards if an order to
+arm was sent, since it was then released because all ranks were armed.
+Sources: ``coordination/rankmaps/_switch.py``, ``_guard.py``, ``_revocations.py``,
+``tests/rank_fakes.py``.
 
 Defects: ``no-hold`` (ranks are armed for a step that is not held),
 ``unchecked-release`` (a step is released whether or not the ranks are armed),
 ``idle-release`` (a step is also released if no rank is armed and no version is left to
 arm), ``late-release`` (a step is also released if all ranks are armed for an earlier
-one), ``live-disarm`` (ranks are disarmed for a version that is not superseded) and
-``unrevoked-release`` (a step is also released while no order to arm for it was sent).
+one), ``live-disarm`` (ranks are disarmed for a version that is not superseded),
+``unrevoked-release`` (a step is also released while no order to arm for it was sent),
+``unnoted-arm`` (a rank is armed directly for a held step, whatever agents have noted)
+and ``late-lift`` (a promise is lifted after the step was released on account of it).
 """
 
 from __future__ import annotations
@@ -44,6 +51,8 @@
     "late-release",
     "live-disarm",
     "unrevoked-release",
+    "unnoted-arm",
+    "late-lift",
 ]
 DEFECTS: Final[tuple[Defect, ...]] = (
     "no-hold",
@@ -52,6 +61,8 @@
     "late-release",
     "live-disarm",
     "unrevoked-release",
+    "unnoted-arm",
+    "late-lift",
 )
 
 RANKS: Final = (0, 1, 2)
@@ -70,6 +81,7 @@
     for step in STEPS:
         variables[f"x{step}"] = z3.BoolSort()
         actions[f"revoke{step}"] = partial(_revoke, step)
+        actions[f"lift{step}"] = partial(_lift, step, defect)
     for version in VERSIONS:
         variables |= {f"p{version}": z3.BoolSort(), f"d{version}": z3.BoolSort()}
         actions[f"propose{version}"] = partial(_propose, version)
@@ -90,10 +102,14 @@
             actions[f"release{holder}{step}"] = partial(_release, holder, step)
     for version in VERSIONS:
         for step in STEPS:
-            variables[f"a{version}{step}"] = z3.BoolSort()
+            sent = {f"a{version}{step}", f"b{version}{step}"}
+            variables |= dict.fromkeys(sorted(sent), z3.BoolSort())
             actions[f"ask-arm{version}{step}"] = partial(
                 _order_arm, version, step, defect
             )
+            actions[f"ask-arm-directly{version}{step}"] = partial(
+                _order_directly, version, step, defect
+            )
             for rank in RANKS:
                 actions[f"arm{rank}{version}{step}"] = partial(
                     _arm, rank, version, step
@@ -207,10 +223,21 @@
     )
 
 
+def _order_directly(
+    version: int, step: int, defect: Defect, now: State, after: State
+) -> Formula:
+    """Order a rank past its agent to arm, once an agent has noted such an order."""
+    sent = f"b{version}{step}"
+    allowed = now[f"a{version}{step}"]
+    if defect == "unnoted-arm":
+        allowed = z3.And(_is_held(now, step), _all_prepared(now, version))
+    return z3.And(allowed, after[sent], unchanged_except(now, after, sent))
+
+
 def _arm(rank: int, version: int, step: int, now: State, after: State) -> Formula:
     arm, at = f"arm{rank}", f"at{rank}"
     return z3.And(
-        now[f"a{version}{step}"],
+        z3.Or(now[f"a{version}{step}"], now[f"b{version}{step}"]),
         now[f"prep{rank}"] == version,
         now[f"map{rank}"] != version,
         z3.UGT(step, now["step"]),
@@ -225,8 +252,21 @@
     return z3.And(after[f"x{step}"], unchanged_except(now, after, f"x{step}"))
 
 
+def _lift(step: int, defect: Defect, now: State, after: State) -> Formula:
+    """Let orders to arm for a step be sent again, unless it was given up."""
+    is_released = z3.Or([now[f"r{holder}{step}"] for holder in HOLDERS])
+    is_given_up = z3.And(is_released, _never_sent(now, step))
+    if defect == "late-lift":
+        is_given_up = z3.BoolVal(False)
+    return z3.And(
+        z3.Not(is_given_up),
+        z3.Not(after[f"x{step}"]),
+        unchanged_except(now, after, f"x{step}"),
+    )
+
+
 def _never_sent(now: State, step: int) -> Formula:
-    """Return whether no order to arm for a step was sent."""
+    """Return whether no agent has noted an order to arm for a step."""
     return z3.Not(z3.Or([now[f"a{version}{step}"] for version in VERSIONS]))
 
 
@@ -370,7 +410,12 @@
             for step in STEPS
         ]
     )
+    noted_before_direct = [
+        z3.Implies(state[f"b{version}{step}"], state[f"a{version}{step}"])
+        for step in STEPS
+    ]
     return z3.And(
+        *noted_before_direct,
         z3.Implies(state[f"d{version}"], _is_superseded(state, version)),
         z3.Implies(sent, z3.And(all_prepared_it, z3.AtMost(*steps, 1))),
         z3.Implies(sent, z3.Or(superseded_everywhere, in_force, held_or_armed)),
--- a/src/mustardfront/coordination/rankmaps/_members.py
+++ b/src/mustardfront/coordination/rankmaps/_members.py
@@ -24,10 +24,9 @@
     MemberState,
     OrderRequest,
     OrderResult,
-    Revocation,
-    RevocationReply,
     StateQuery,
 )
+from mustardfront.coordination.rankmaps._revocations import Revocation, RevocationReply
 from mustardfront.coordination.rankmaps._types import (
     MapChanges,
     OrderOutcome,
--- a/src/mustardfront/coordination/rankmaps/_order_handler.py
+++ b/src/mustardfront/coordination/rankmaps/_order_handler.py
@@ -10,13 +10,18 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
-from enum import StrEnum
 from typing import Any, Final
 
 import msgspec
 
 from mustardfront.codes import Code
 from mustardfront.coordination.rankmaps._loads import CountDeltas
+from mustardfront.coordination.rankmaps._revocations import (
+    REVOKE_UPTIME_MIN_S,
+    Revocation,
+    RevocationReply,
+    RevokedSteps,
+)
 from mustardfront.coordination.rankmaps._types import (
     Counts,
     MapChanges,
@@ -45,8 +50,6 @@
 ORDER_REQUEST: Final = "order"
 GUARD_REQUEST: Final = "guard"
 REVOCATION: Final = "revoke"
-# A process that started later may have forgotten an order of the one before it.
-REVOKE_UPTIME_MIN_S: Final = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,44 +116,6 @@
     guard: HoldGuard
 
 
-class RevocationAction(StrEnum):
-    """What an agent does about orders to arm for a step."""
-
-    ASK = "ask"
-    REVOKE = "revoke"
-    LIFT = "lift"
-
-
-@dataclass(frozen=True, slots=True)
-class Revocation:
-    """A request to order no arms for steps up to ``step`` of an epoch any more.
-
-    The agent may also be asked only, or to order arms again.
-    """
-
-    epoch: int
-    step: int
-    action: RevocationAction = RevocationAction.REVOKE
-
-
-@dataclass(frozen=True, slots=True)
-class RevocationReply:
-    """What an agent knows about orders to arm its rank for a step.
-
-    ``has_ordered``: it has given one. ``is_certain``: it would know. ``was_revoked``:
-    it gave none any more before this request.
-    """
-
-    has_ordered: bool
-    is_certain: bool
-    was_revoked: bool
-
-    @property
-    def excludes_arming(self) -> bool:
-        """Return whether the rank is not armed, and is not on this agent's order."""
-        return self.is_certain and not self.has_ordered
-
-
 @dataclass(frozen=True, slots=True)
 class OrderRequest:
     """An order to a rank; it is refused unless ``holder`` holds the rank's lock.
@@ -165,10 +130,14 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderResult:
-    """Outcome of an order, and the rank's state after it (None: unknown)."""
+    """Outcome of an order, and the rank's state after it (None: unknown).
+
+    ``is_revoked``: the agent has promised to give no such order, and gave none.
+    """
 
     outcome: OrderOutcome
     state: MemberState | None
+    is_revoked: bool = False
 
 
 class RankOrderHandler:
@@ -187,9 +156,9 @@
         self._count_deltas = CountDeltas()
         self.last_report: RankReport | None = None
         self._started_s = clock()
-        # The epoch and step up to which the rank was ordered to arm, and may not be.
+        # The epoch and step up to which the rank was ordered to arm.
         self._armed = (0, 0)
-        self._revoked = (0, 0)
+        self._revoked = RevokedSteps()
         # Called when a coordinator is about to hold the rank.
         self.on_hold: Callable[[GuardedHold], None] = lambda hold: None
         # Maps of recent orders by epoch and version, oldest first.
@@ -293,8 +262,8 @@
         if order.kind is OrderKind.PREPARE:
             await self._store_ordered_rows(order)
         if order.kind is OrderKind.ARM:
-            if (order.epoch, order.step) <= self._revoked:
-                return await self._result(OrderOutcome.REFUSED)
+            if self._revoked.covers(order.epoch, order.step):
+                return await self._result(OrderOutcome.REFUSED, is_revoked=True)
             # Before the order, which may be executed without an answer.
             self._armed = max(self._armed, (order.epoch, order.step))
         outcome = OrderOutcome.UNKNOWN
@@ -308,23 +277,28 @@
                 break
         return await self._result(outcome)
 
-    async def _result(self, outcome: OrderOutcome) -> Result[OrderResult]:
-        state = await self._read_state(locked=True, with_counts=False, with_maps=False)
-        return Ok(OrderResult(outcome, state.value if isinstance(state, Ok) else None))
+    async def _result(
+        self, outcome: OrderOutcome, *, is_revoked: bool = False
+    ) -> Result[OrderResult]:
+        read = await self._read_state(locked=True, with_counts=False, with_maps=False)
+        state = read.value if isinstance(read, Ok) else None
+        return Ok(OrderResult(outcome, state, is_revoked))
 
     async def _revoke(self, req: Revocation) -> Result[RevocationReply]:
         """Tell about orders to arm up to a step, and give none any more if asked."""
-        named = (req.epoch, req.step)
-        reply = RevocationReply(
-            has_ordered=self._armed >= named,
-            is_certain=self._clock() - self._started_s >= REVOKE_UPTIME_MIN_S,
-            was_revoked=self._revoked >= named,
+        was_revoked = self._revoked.covers(req.epoch, req.step)
+        # Before the rank is read, so that no order of this agent arms it afterwards.
+        self._revoked.apply(req)
+        read = await self._client.report()
+        has_forgotten = self._clock() - self._started_s < REVOKE_UPTIME_MIN_S
+        is_armed = isinstance(read, Ok) and _is_armed(read.value, req)
+        return Ok(
+            RevocationReply(
+                has_ordered=is_armed or self._armed >= (req.epoch, req.step),
+                is_certain=isinstance(read, Ok) and not has_forgotten,
+                was_revoked=was_revoked,
+            )
         )
-        if req.action is RevocationAction.REVOKE:
-            self._revoked = max(self._revoked, named)
-        elif req.action is RevocationAction.LIFT and self._revoked == named:
-            self._revoked = (0, 0)
-        return Ok(reply)
 
     def _is_locked_for(self, holder: str) -> bool:
         return bool(holder) and self.holder == holder
@@ -355,3 +329,15 @@
             rank = report.value.seat.rank
             rows = tuple(tuple(sorted(layer[rank])) for layer in order.layers)
             self._ordered_rows = (order.version, rows)
+
+
+def _is_armed(report: RankReport, req: Revocation) -> bool:
+    """Return whether a rank is armed for the step of a revocation or a later one.
+
+    Its agent may have forgotten the order, or another process gave it.
+    """
+    armed = report.armed
+    return armed is not None and (report.seat.epoch, armed.step) >= (
+        req.epoch,
+        req.step,
+    )
--- a/src/mustardfront/coordination/rankmaps/_recover.py
+++ b/src/mustardfront/coordination/rankmaps/_recover.py
@@ -7,8 +7,10 @@
 every order to arm an older version.
 
 An agent may have begun to give up the hold (``_guard``): agents then order no arms for
-the step any more. If one has ordered any, nobody can have released the step, and the
-others order them again; if all know that they have not, the step is released.
+the step any more. If one has ordered any, or its rank is armed, nobody can have
+released the step, and the others order them again; if all know that they have not, the
+step is released. Ranks whose agents may have given up a step are armed last, as the one
+who gives it up does not ask the agent of the coordinator that held it.
 """
 
 from __future__ import annotations
@@ -21,9 +23,10 @@
 from mustardfront import events
 from mustardfront.coordination.rankmaps import _switch
 from mustardfront.coordination.rankmaps._members import Members, States
-from mustardfront.coordination.rankmaps._order_handler import (
+from mustardfront.coordination.rankmaps._revocations import (
     Revocation,
     RevocationAction,
+    RevocationReply,
 )
 from mustardfront.coordination.rankmaps._types import ArmedSwitch, OrderKind, RankOrder
 from mustardfront.state import LayerMap
@@ -52,7 +55,8 @@
     if target is None:
         await _switch_to_new_version(members, states, sleep)
     elif held:
-        await _switch.finish(members, epoch, target, held, sleep)
+        last = _armed_last(members, states)
+        await _switch.finish(members, epoch, target, held, sleep, armed_last=last)
     elif not _is_armed_everywhere(states, target):
         hold = RankOrder(OrderKind.HOLD, epoch, step=target.step)
         await members.send_orders({members.own_rank: hold})
@@ -63,22 +67,45 @@
 ) -> bool:
     """Return whether the ranks may be armed for the step that the group is held at."""
     step = min(held.values())
-    asked = Revocation(epoch, step, RevocationAction.ASK)
-    answers = await members.revoke(asked, _SETTLE_PATIENCE_S)
+    answers = await members.revoke(
+        Revocation(epoch, step, RevocationAction.ASK), _SETTLE_PATIENCE_S
+    )
     if not any(answer.was_revoked for answer in answers.values()):
         return True
     if any(answer.has_ordered for answer in answers.values()):
         lift = Revocation(epoch, step, RevocationAction.LIFT)
         await members.revoke(lift, _SETTLE_PATIENCE_S)
         return True
-    answers = await members.revoke(Revocation(epoch, step), _SETTLE_PATIENCE_S)
-    all_exclude = all(answer.excludes_arming for answer in answers.values())
-    if answers.keys() == members.addresses.keys() and all_exclude:
-        steps = {rank: one for rank, one in held.items() if one == step}
-        await _switch.release(members, epoch, steps, sleep)
+    # A promise that cannot lead to a release would only stop who finishes the switch.
+    if not _exclude_arming(members, answers):
+        return False
+    name = members.holder
+    revocation = Revocation(epoch, step, RevocationAction.REVOKE, name)
+    answers = await members.revoke(revocation, _SETTLE_PATIENCE_S)
+    if not _exclude_arming(members, answers):
+        lift = Revocation(epoch, step, RevocationAction.LIFT, name)
+        await members.revoke(lift, _SETTLE_PATIENCE_S)
+        return False
+    steps = {rank: one for rank, one in held.items() if one == step}
+    await _switch.release(members, epoch, steps, sleep)
     return False
 
 
+def _exclude_arming(members: Members, answers: Mapping[int, RevocationReply]) -> bool:
+    """Return whether no rank is armed, or armed by the order of an agent."""
+    all_exclude = all(answer.excludes_arming for answer in answers.values())
+    return all_exclude and answers.keys() == members.addresses.keys()
+
+
+def _armed_last(members: Members, states: States) -> frozenset[int]:
+    """Return the own rank and those whose coordinators may have held the group."""
+    reports = [state.report for state in states.values()]
+    versions = {one.prepared for one in reports if one.prepared is not None}
+    versions |= {one.armed.version for one in reports if one.armed is not None}
+    proposers = {_switch.proposer_of(version) for version in versions}
+    return frozenset({members.own_rank} | proposers) & members.addresses.keys()
+
+
 def current_layers(states: States) -> tuple[LayerMap, ...] | None:
     """Return the map in force, assembled from the rows of all ranks, if known."""
     versions = {state.report.version for state in states.values()}
@@ -131,6 +158,7 @@
 ) -> None:
     """Switch all ranks to a new version of the map in force and release them."""
     epoch = states[members.own_rank].report.seat.epoch
+    last = _armed_last(members, states)
     await _disarm_superseded(members, epoch, states)
     states = await members.lock_and_read(with_maps=True)
     layers = current_layers(states) if members.is_complete(states) else None
@@ -142,7 +170,7 @@
     held = _held_steps(prepared_states) if prepared_states is not None else {}
     if held:
         target = ArmedSwitch(version, min(held.values()))
-        await _switch.finish(members, epoch, target, held, sleep)
+        await _switch.finish(members, epoch, target, held, sleep, armed_last=last)
 
 
 async def _disarm_superseded(members: Members, epoch: int, states: States) -> None:
--- a/src/mustardfront/coordination/rankmaps/_switch.py
+++ b/src/mustardfront/coordination/rankmaps/_switch.py
@@ -10,6 +10,10 @@
 ends the hold when the coordinator stops (``_guard``). The coordinator orders the hold
 itself, and calls ranks whose agents stop directly. Its own rank is armed last. What
 both leave, a later coordinator recovers (``_recover``).
+
+A rank is armed directly only after an agent has noted an order to arm another rank for
+this step. The step then cannot be released with the old map: whoever wants to release
+it asks all agents first (``_revocations``), and a direct order leaves no other trace.
 Specification: ``specs/timed_switch.py``.
 """
 
@@ -41,6 +45,7 @@
 # that no two coordinators give the same version to different maps.
 _COUNTER_SHIFT: Final = 24
 _RANK_SHIFT: Final = 16
+_RANK_MASK: Final = 0xFF
 _RANDOM_BITS: Final = 16
 # The held step is at least this far ahead. It should be so far ahead that the ranks are
 # armed before the group reaches it.
@@ -82,6 +87,11 @@
     )
 
 
+def proposer_of(version: int) -> int:
+    """Return the rank of the coordinator that proposed a version."""
+    return version >> _RANK_SHIFT & _RANK_MASK
+
+
 def is_held_or_armed(states: States) -> bool:
     """Return whether any rank is held at a step or armed."""
     return any(
@@ -253,14 +263,19 @@
     target: ArmedSwitch,
     held: Mapping[int, int],
     sleep: Sleep,
+    *,
+    armed_last: frozenset[int] | None = None,
 ) -> bool:
     """Arm every rank of a held group, and release the held steps once all are armed.
 
     A step beyond the target's stays held: an order to release it that is executed late
-    could release the hold of a later switch.
+    could release the hold of a later switch. ``armed_last`` are the ranks that are
+    armed after all others, by default that beside the coordinator.
     """
     began_s = trio.current_time()
-    if not await _arm(members, epoch, target, sleep):
+    if armed_last is None:
+        armed_last = frozenset({members.own_rank})
+    if not await _arm(members, epoch, target, armed_last, sleep):
         return False
     steps = {rank: step for rank, step in held.items() if step <= target.step}
     released = await release(members, epoch, steps, sleep)
@@ -275,18 +290,27 @@
     return released
 
 
-async def _arm(members: Members, epoch: int, target: ArmedSwitch, sleep: Sleep) -> bool:
+async def _arm(
+    members: Members,
+    epoch: int,
+    target: ArmedSwitch,
+    armed_last: frozenset[int],
+    sleep: Sleep,
+) -> bool:
     """Order all ranks to arm until each reports it; return whether all did."""
     arm = RankOrder(OrderKind.ARM, epoch, version=target.version, step=target.step)
     pending = set(members.addresses)
+    is_noted = False
     for _ in range(ORDER_ROUNDS_MAX):
-        # The own rank comes last, so that it is not armed while another one is not.
-        batch = pending - {members.own_rank} or pending
+        batch = _next_to_arm(members, pending, armed_last, is_noted=is_noted)
         results = await members.send_orders(
             dict.fromkeys(batch, arm), patience_s=HELD_PATIENCE_S
         )
-        if any(result.state is not None for result in results.values()):
-            # An agent has ordered it, so that the hold is no longer given up.
+        if any(result.is_revoked for result in results.values()):
+            _log_map_kept(members, target.version, "this step may be given up")
+            return False
+        is_noted = is_noted or _has_agent_noted(members, results)
+        if is_noted:
             members = members.calling_directly(_silent_ranks(results))
         for rank, result in results.items():
             if result.state is None:
@@ -305,7 +329,7 @@
                 return False
         if not pending:
             return True
-        if pending != {members.own_rank}:
+        if not pending <= armed_last:
             await sleep(ORDER_RETRY_S)
     _log_map_kept(
         members, target.version, "not all ranks are armed; the group stays held"
@@ -340,6 +364,29 @@
     return False
 
 
+def _next_to_arm(
+    members: Members,
+    pending: set[int],
+    armed_last: frozenset[int],
+    *,
+    is_noted: bool,
+) -> set[int]:
+    """Return the ranks to arm in the next round.
+
+    ``is_noted`` tells that an agent has noted an order to arm for the step.
+    """
+    if is_noted:
+        return pending - armed_last or pending
+    by_agent = pending - members.direct_clients.keys()
+    return by_agent - armed_last or by_agent
+
+
+def _has_agent_noted(members: Members, results: Mapping[int, OrderResult]) -> bool:
+    """Return whether an agent has surely noted an order, as its answer shows."""
+    by_agent = results.keys() - members.direct_clients.keys()
+    return any(results[rank].state is not None for rank in by_agent)
+
+
 def _silent_ranks(results: Mapping[int, OrderResult]) -> list[int]:
     return [rank for rank, result in results.items() if result.state is None]
 
--- a/src/mustardfront/programs/agent/_hold_watch.py
+++ b/src/mustardfront/programs/agent/_hold_watch.py
@@ -37,7 +37,16 @@
             if isinstance(report, Err):
                 return
             members = self._members(hold, report.value.seat.rank)
-            await guard_hold(hold, members, self._services.own_client)
+
+            def is_contested() -> bool:
+                return self._order_handler.holder not in ("", hold.holder)
+
+            await guard_hold(
+                hold,
+                members,
+                self._services.own_client,
+                is_contested=is_contested,
+            )
 
     def _members(self, hold: GuardedHold, own_rank: int) -> Members:
         known = {one.rank: one for one in hold.guard.members}
--- a/tests/test_rankmaps_guard.py
+++ b/tests/test_rankmaps_guard.py
@@ -20,7 +20,7 @@
     recover,
     switch,
 )
-from mustardfront.coordination.rankmaps._order_handler import (
+from mustardfront.coordination.rankmaps._revocations import (
     REVOKE_UPTIME_MIN_S,
     Revocation,
     RevocationAction,
