Send each message of a response whole, whatever scope is cancelled

The cancel scope of the limit took effect while hypercorn waited for the lock of the connection, between its parser's note of the head and the bytes. The parser refused the error response that the server sent next, and the exception ended the process.

The send that applications get is shielded in serve_asgi, so that a scope ends before or after a message. This covers every cancelled send of all our HTTP servers: time limits, callers that leave, planned stops.

--- a/src/mustardfront/programs/_http.py
+++ b/src/mustardfront/programs/_http.py
@@ -64,7 +64,7 @@
 
     async def handle_scope(scope: Any, receive: Any, send: Any) -> None:
         if scope["type"] == "http":
-            await app(scope, receive, send)
+            await app(scope, receive, _uninterrupted(send))
 
     if connections is None:
         connections = CallerConnections(connections_limit())
@@ -89,6 +89,23 @@
         callers.cancel_scope.deadline = trio.current_time() + config.graceful_timeout
 
 
+def _uninterrupted(send: Any) -> Any:
+    """Return ``send`` so that a cancel scope ends before or after a message.
+
+    The HTTP server notes a message in its parser, waits for its lock and then sends the
+    bytes. A message that is cancelled in between is lost, while the parser counts it as
+    sent: whatever is sent next is either refused by the parser, which ended the
+    process, or follows a gap. A caller that does not read delays a message for as long
+    as its connection may stall.
+    """
+
+    async def send_message(message: dict[str, Any]) -> None:
+        with trio.CancelScope(shield=True):
+            await send(message)
+
+    return send_message
+
+
 def _open_listeners(config: Any, connections: CallerConnections) -> list[Any]:
     """Listen on the sockets of a configuration, with TLS where it asks for that."""
     sockets = config.create_sockets()
