Keep the error of one caller's connection with it, and speak no HTTP/2

The exception is logged and ends that connection, also in a group with a cancellation (log_exceptions, which peers' connections use too). HTTP/2 is off over TCP and TLS: the limits on callers count connections, and one of HTTP/2 has many requests at once.

--- a/src/mustardfront/events.py
+++ b/src/mustardfront/events.py
@@ -137,10 +137,11 @@
 def log_exceptions(task: str) -> Iterator[None]:
     """Log and suppress exceptions raised in the context.
 
-    For tasks that serve one connection: an error there must not end the process.
+    For tasks that serve one connection: an error there must not end the process. It may
+    come in a group with the cancellation of the task, which goes on.
     """
     try:
         yield
-    except Exception as exc:
+    except* Exception as exc:
         text = "".join(traceback.format_exception(exc))[-_TRACEBACK_MAX_CHARS:]
         log(Event.TASK_FAILED, task=task, text=text)
--- a/src/mustardfront/programs/_http.py
+++ b/src/mustardfront/programs/_http.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from mustardfront import events
 from mustardfront.codes import Code
 from mustardfront.metrics import Metrics
 from mustardfront.programs._connections import (
@@ -39,6 +40,8 @@
     config = Config()
     config.bind = [f"fd://{bound.detach()}"]
     config.errorlog = None
+    # HTTP/2 over TLS; that over TCP is refused by ``Http1Server``.
+    config.alpn_protocols = ["http/1.1"]
     config.graceful_timeout = grace_s
     return config
 
@@ -53,15 +56,16 @@
 ) -> None:
     """Serve ``app`` until ``stopping`` returns, then finish requests in flight.
 
-    ``app`` gets ``http`` scopes only. ``connections`` limits those of callers, by
-    default as the descriptors allow. ``task_status`` gets the bound address
+    ``app`` gets ``http`` scopes of HTTP/1 only. ``connections`` limits those of
+    callers, by default as the descriptors allow. ``task_status`` gets the bound address
     ``"IP:PORT"``.
     """
-    from hypercorn.trio.tcp_server import TCPServer
     from hypercorn.trio.worker_context import WorkerContext
     from hypercorn.typing import ConnectionState
     from hypercorn.utils import wrap_app
 
+    from mustardfront.programs._http1_server import Http1Server
+
     async def handle_scope(scope: Any, receive: Any, send: Any) -> None:
         if scope["type"] == "http":
             await app(scope, receive, _uninterrupted(send))
@@ -70,7 +74,14 @@
         connections = CallerConnections(connections_limit())
     context = WorkerContext(None)
     wrapped = wrap_app(handle_scope, config.wsgi_max_body_size, "asgi")
-    serve_caller = partial(TCPServer, wrapped, config, context, ConnectionState({}))
+    make_server = partial(Http1Server, wrapped, config, context, ConnectionState({}))
+
+    async def serve_caller(stream: Any) -> None:
+        # All callers share one nursery, and what the HTTP library raises for one of
+        # them must not end the others.
+        with events.log_exceptions("caller's connection"):
+            await make_server(stream)
+
     listeners = _open_listeners(config, connections)
     async with trio.open_nursery() as callers:
         async with trio.open_nursery() as accepting:
