Read every response of another process through one kind of connection

The limit on the head of a response stood beside the gateway and the sidecar only; calls of the store, the key-value service, ranks and the host list relied on the parser's own. All of them open their connections through http_streams now, which finds the end of a head by itself and so serves connections that are kept as well.

--- a/src/mustardfront/coordination/expertmap/_task.py
+++ b/src/mustardfront/coordination/expertmap/_task.py
@@ -39,6 +39,7 @@
 from mustardfront.coordination.expertmap._types import RankState, parse_state
 from mustardfront.decoding import decode_json
 from mustardfront.http_calls import CALL_ERRORS, CallLimits, call_http
+from mustardfront.http_streams import open_pool
 from mustardfront.protocol import Identity, connect_peer
 from mustardfront.results import Err, Ok, Result
 from mustardfront.state import Config, Group, first_map
@@ -60,7 +61,7 @@
 
 def open_rank_client(url: str) -> tuple[httpcore.AsyncConnectionPool, RankCall]:
     """Return a connection pool for the rank at ``url`` and a function to call it."""
-    pool = httpcore.AsyncConnectionPool(max_connections=4)
+    pool = open_pool(max_connections=4)
     limits = CallLimits(
         RANK_CALL_TIMEOUT_S,
         CONNECT_TIMEOUT_S,
--- a/src/mustardfront/coordination/hosts/_list.py
+++ b/src/mustardfront/coordination/hosts/_list.py
@@ -119,9 +119,9 @@
         if self._fetch is not None:
             await self._poll(self._fetch, task_status)
             return
-        import httpcore
+        from mustardfront.http_streams import open_pool
 
-        async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
+        async with open_pool(max_connections=1) as pool:
             await self._poll(_http_fetch(pool, self._url), task_status)
 
     async def _poll(self, fetch: Fetch, task_status: trio.TaskStatus[None]) -> None:
--- a/src/mustardfront/coordination/kv/_client.py
+++ b/src/mustardfront/coordination/kv/_client.py
@@ -29,6 +29,7 @@
     check_length,
     close_idle_connections,
 )
+from mustardfront.http_streams import open_pool
 from mustardfront.results import Err, Ok, Result
 
 _PATHS: Final = {
@@ -105,11 +106,9 @@
         self.restores = 0
         # The highest revision that a response had since the last restore.
         self._revision = 0
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=KV_CONNECTIONS, max_keepalive_connections=KV_CONNECTIONS
-        )
+        self._pool = open_pool(KV_CONNECTIONS, KV_CONNECTIONS)
         # A watch occupies its connection, so watches use a separate, unlimited pool.
-        self._watch_pool = httpcore.AsyncConnectionPool(max_keepalive_connections=0)
+        self._watch_pool = open_pool(max_keepalive_connections=0)
 
     async def __aenter__(self) -> KvClient:
         return self
--- a/src/mustardfront/programs/_http1_server.py
+++ b/src/mustardfront/programs/_http1_server.py
@@ -18,7 +18,7 @@
     async def _read_data(self) -> None:
         protocol = self.protocol.protocol
         if isinstance(protocol, H11Protocol):
-            protocol._check_protocol = _keep_http1  # type: ignore[method-assign]
+            protocol._check_protocol = _keep_http1  # type: ignore[assignment, method-assign]
         await super()._read_data()
 
 
--- a/src/mustardfront/programs/gateway/_attempt.py
+++ b/src/mustardfront/programs/gateway/_attempt.py
@@ -18,7 +18,7 @@
 from mustardfront.codes import Code
 from mustardfront.constants import RESPONSE_BODY_MAX_BYTES
 from mustardfront.coordination.traffic import Upstream
-from mustardfront.programs._head_limit import HeadLimitedBackend
+from mustardfront.http_streams import CheckedBackend
 from mustardfront.programs._held import Hold
 from mustardfront.programs.gateway._header_names import HeaderNames
 from mustardfront.programs.gateway._identity import still_runs
@@ -149,7 +149,7 @@
     """
     host, port = upstream.announced.address
     origin = httpcore.Origin(b"http", host.encode(), port)
-    backend = HeadLimitedBackend()
+    backend = CheckedBackend()
     async with httpcore.AsyncHTTPConnection(origin, network_backend=backend) as conn:
         try:
             response = await conn.handle_async_request(
@@ -164,7 +164,6 @@
                 f"no response from the upstream: {type(exc).__name__} {exc}",
                 connection_closed=True,
             )
-        backend.end_head()
         header_map = {name.lower(): value for name, value in response.headers}
         on_head(response.status, header_map)
         try:
--- a/src/mustardfront/programs/gateway/_identity.py
+++ b/src/mustardfront/programs/gateway/_identity.py
@@ -12,7 +12,7 @@
 from mustardfront.coordination.traffic import Upstream
 from mustardfront.decoding import decode_json
 from mustardfront.http_calls import CALL_ERRORS, check_length
-from mustardfront.programs._head_limit import HeadLimitedBackend
+from mustardfront.http_streams import CheckedBackend
 from mustardfront.programs.gateway._header_names import HeaderNames
 
 # The caller waits for this at the end of a response that nothing else ends.
@@ -56,7 +56,7 @@
     """Return whether the process runs; None if its answer does not tell."""
     host, port = upstream.announced.address
     origin = httpcore.Origin(b"http", host.encode(), port)
-    backend = HeadLimitedBackend()
+    backend = CheckedBackend()
     req = httpcore.Request(
         b"GET",
         httpcore.URL(
@@ -75,7 +75,6 @@
         conn = httpcore.AsyncHTTPConnection(origin, network_backend=backend)
         async with conn:
             response = await conn.handle_async_request(req)
-            backend.end_head()
             headers = {name.lower(): value for name, value in response.headers}
             named = headers.get(header_names.instance, upstream.instance.encode())
             if response.status == 421 or named.decode("latin-1") != upstream.instance:
--- a/src/mustardfront/programs/sidecar/_upstream.py
+++ b/src/mustardfront/programs/sidecar/_upstream.py
@@ -11,7 +11,7 @@
 import trio
 
 from mustardfront.codes import Code
-from mustardfront.programs._head_limit import HeadLimitedBackend
+from mustardfront.http_streams import CheckedBackend
 from mustardfront.programs.sidecar._network import NoTimeoutBackend
 from mustardfront.protocol import Headers
 from mustardfront.results import Err, Ok, Result
@@ -92,7 +92,7 @@
         parsed = httpcore.URL(url)
         self._origin = parsed.origin
         self._host = url.removeprefix("http://").rstrip("/").encode()
-        self._network = NoTimeoutBackend()
+        self._network = CheckedBackend(NoTimeoutBackend())
 
     @asynccontextmanager
     async def exchange(
@@ -105,8 +105,7 @@
         ``before_write`` runs immediately before the first byte is written. If it did
         not run, the upstream has received nothing of the request.
         """
-        backend = HeadLimitedBackend(self._network)
-        conn = httpcore.AsyncHTTPConnection(self._origin, network_backend=backend)
+        conn = httpcore.AsyncHTTPConnection(self._origin, network_backend=self._network)
         response: httpcore.Response | None = None
         result: Result[UpstreamResponse]
         try:
@@ -114,7 +113,6 @@
                 response = await conn.handle_async_request(
                     self._build_request(call, before_write)
                 )
-                backend.end_head()
                 result = Ok(UpstreamResponse(response, call.method))
             except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
                 result = Err(
