Take no answer as complete that was reset while its request was being sent

Connections remember the failed write and report the end as an error, for the gateway, the sidecar and all calls.

--- a/src/mustardfront/http_streams.py
+++ b/src/mustardfront/http_streams.py
@@ -3,6 +3,9 @@
 A process in trouble may send anything. The parser behind these connections takes some
 faulty responses as sound, so the bytes are checked before it gets them:
 
+- A response may begin while its request is still being sent, and the connection be
+  reset. The failed write takes the error of the socket with it: a read then finds an
+  orderly end, and a body that ends with its connection would look complete.
 - A head may have no end.
 """
 
@@ -65,10 +68,13 @@
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self._stream = stream
         self._head = HeadScanner()
+        self._is_write_broken = False
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Read bytes; raise an error of httpcore if they are no answer."""
         data = await self._stream.read(max_bytes, timeout)
+        if not data and self._is_write_broken:
+            raise httpcore.ReadError("reset while the request was being sent")
         if not self._head.is_complete:
             self._head.feed(data)
         return data
@@ -77,7 +83,11 @@
         """Write bytes of a request, whose response begins with a head."""
         if self._head.is_complete:
             self._head = HeadScanner()
-        await self._stream.write(buffer, timeout)
+        try:
+            await self._stream.write(buffer, timeout)
+        except httpcore.WriteError:
+            self._is_write_broken = True
+            raise
 
     async def aclose(self) -> None:
         """Close the connection."""
