Take no response with a status outside of 100 to 599 as an answer

The parser refuses 000 and 099 but takes any three digits from 200 on; HTTP has no status over 599. Such responses, and 101, are errors of the connection now, at the gateway, the sidecar and all calls.

--- a/src/mustardfront/http_streams.py
+++ b/src/mustardfront/http_streams.py
@@ -6,6 +6,7 @@
 - A response may begin while its request is still being sent, and the connection be
   reset. The failed write takes the error of the socket with it: a read then finds an
   orderly end, and a body that ends with its connection would look complete.
+- A status outside of 100 to 599 has no meaning to a caller.
 - A head may have no end.
 """
 
@@ -26,7 +27,9 @@
 _HEAD_END: Final = re.compile(rb"\n\r?\n")
 _HEAD_END_MAX_BYTES: Final = 3
 _STATUS: Final = re.compile(rb"HTTP/[0-9]\.[0-9] ([0-9]{3})")
+_STATUS_MIN: Final = 100
 _FINAL_STATUS_MIN: Final = 200
+_STATUS_MAX: Final = 599
 
 
 class HeadScanner:
@@ -59,7 +62,11 @@
     found = _STATUS.match(head)
     if found is None:
         raise httpcore.RemoteProtocolError("no status line")
-    return int(found[1])
+    status = int(found[1])
+    # No request of this project asks for another protocol.
+    if not _STATUS_MIN <= status <= _STATUS_MAX or status == 101:
+        raise httpcore.RemoteProtocolError(f"status {status} is no answer")
+    return status
 
 
 class CheckedStream(httpcore.AsyncNetworkStream):
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -53,9 +53,52 @@
     assert not await is_refused(call, answer(SOUND_BODIES[call]))
 
 
+NO_STATUSES = [b"000", b"099", b"101", b"600", b"999"]
+
+
+@pytest.mark.parametrize("status", NO_STATUSES)
+@readers
+async def test_status_without_a_meaning_is_no_answer(call, status):
+    """Guards against an answer whose status is no status, as 000 or 600."""
+    assert await is_refused(call, answer(SOUND_BODIES[call], status))
+
+
+def fail_with(response: bytes):
+    async def send(request, conn):
+        echo = b"x-request-id: " + request.headers["x-request-id"].encode() + b"\r\n"
+        first, _, rest = response.partition(b"\r\n")
+        await conn.send_all(first + b"\r\nx-answer-seal: s1\r\n" + echo + rest)
+
+    return send
+
+
 GATEWAY_TARGETS = ["/get/x", "/book/x", "/draft/x", "/once/x"]
 
 
+async def status_for(target: str, response: bytes) -> int:
+    """Return the status that a caller gets for an upstream's response."""
+    svc = FakeUpstream([fail_with(response)])
+    async with gateway({"u1": svc}) as gw:
+        with trio.fail_after(5):
+            # A retry finds no other upstream, and waits a part of this time.
+            headers = {"x-deadline-ms": "150"}
+            found = await send_request(gw, target, headers=headers)
+    assert svc.requests
+    return found.status
+
+
+EVENT = encode_events(1, 2)
+NO_ANSWERS = [answer(EVENT, status) for status in NO_STATUSES]
+
+
+@pytest.mark.parametrize("target", GATEWAY_TARGETS)
+async def test_caller_gets_no_answer_that_is_none(target):
+    """Guards against a faulty head that reaches a caller as an answer."""
+    assert await status_for(target, answer(EVENT)) == 200
+    for response in NO_ANSWERS:
+        assert await status_for(target, response) in (502, 503, 504), response
+
+
 UPLOAD = b"x" * (2 * 1024 * 1024)
 RECEIVE_WINDOW_BYTES = 4096
 # The answer has arrived by then, and the upload is still being written.
