Take no head with folded lines or mixed line ends as an answer

The parser supports folded lines, and it takes a bare line feed for the end of the head. Heads of both kinds are errors of the connection now.

Ten tests fail on the code before, which try each control byte and blank at three places of a name, at the gateway and six other readers.

--- a/src/mustardfront/http_streams.py
+++ b/src/mustardfront/http_streams.py
@@ -6,6 +6,8 @@
 - A response may begin while its request is still being sent, and the connection be
   reset. The failed write takes the error of the socket with it: a read then finds an
   orderly end, and a body that ends with its connection would look complete.
+- A line of a head that begins with a blank counts as part of the field before it, and a
+  head may end with a bare line feed. A field such as the length of the body gets lost.
 - A status outside of 100 to 599 has no meaning to a caller.
 - A head may have no end.
 """
@@ -26,6 +28,7 @@
 CONNECTIONS_MAX: Final = 10
 _HEAD_END: Final = re.compile(rb"\n\r?\n")
 _HEAD_END_MAX_BYTES: Final = 3
+_FOLDED_LINE: Final = re.compile(rb"\n[ \t]")
 _STATUS: Final = re.compile(rb"HTTP/[0-9]\.[0-9] ([0-9]{3})")
 _STATUS_MIN: Final = 100
 _FINAL_STATUS_MIN: Final = 200
@@ -59,6 +62,10 @@
 
 def _check_head(head: bytes) -> int:
     """Return the status of a head; raise RemoteProtocolError if it is no answer."""
+    if _FOLDED_LINE.search(head):
+        raise httpcore.RemoteProtocolError("a line of the head begins with a blank")
+    if head.count(b"\n") != head.count(b"\r\n") and b"\r\n" in head:
+        raise httpcore.RemoteProtocolError("lines of the head end differently")
     found = _STATUS.match(head)
     if found is None:
         raise httpcore.RemoteProtocolError("no status line")
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -63,6 +63,25 @@
     assert await is_refused(call, answer(SOUND_BODIES[call], status))
 
 
+# A field whose name has a blank or a control byte somewhere.
+FAULTY_LINES = [
+    name + b": 1\r\n"
+    for byte in (*range(0x21), 0x7F)
+    for name in (bytes([byte]) + b"x-a", b"x" + bytes([byte]) + b"-a", b"x-a%c" % byte)
+]
+# A parser may join them to the field before.
+FOLDED_LINES = [b"x-b: 1\r\n x-a: 1\r\n", b"x-b: 1\r\n\tcontent-length: 1\r\n"]
+FAULTY_LINES += FOLDED_LINES
+
+
+@readers
+async def test_field_name_with_a_blank_or_control_byte_is_no_answer(call):
+    """Guards against a head that is passed on or read otherwise than it was sent."""
+    for line in FAULTY_LINES:
+        response = answer(SOUND_BODIES[call], line=line)
+        assert await is_refused(call, response), line
+
+
 def fail_with(response: bytes):
     async def send(request, conn):
         echo = b"x-request-id: " + request.headers["x-request-id"].encode() + b"\r\n"
@@ -88,7 +107,12 @@
 
 
 EVENT = encode_events(1, 2)
+CONTROL_LINES = [b"x-a\x00: 1\r\n", b"\x01x-a: 1\r\n", b"x-a\x7f: 1\r\n"]
+BLANK_LINES = [b" x-a: 1\r\n", b"x a: 1\r\n", b"x-a : 1\r\n", b"\nx-a: 1\r\n"]
 NO_ANSWERS = [answer(EVENT, status) for status in NO_STATUSES]
+NO_ANSWERS += [
+    answer(EVENT, line=line) for line in CONTROL_LINES + BLANK_LINES + FOLDED_LINES
+]
 
 
 @pytest.mark.parametrize("target", GATEWAY_TARGETS)
