Limit the incomplete events of all streams together

Other operators met bytes without end that filled the memory of a caller.

Those over 16 KB count against a limit of their own now, a quarter of that on bodies. They do not count as bodies, so that endless streams cannot make answers to others fail.

--- a/src/mustardfront/programs/gateway/_attempt.py
+++ b/src/mustardfront/programs/gateway/_attempt.py
@@ -245,7 +245,12 @@
         return Failed(Code.UPSTREAM_BAD_ANSWER, "resumed with another content type")
     if is_success and req.route.kind is RequestKind.STREAM:
         return await _forward_stream(
-            response, end_to_end_headers(headers), writer, progress, is_end_certain
+            response,
+            end_to_end_headers(headers),
+            writer,
+            progress,
+            hold,
+            is_end_certain,
         )
     return await _read_full_response(
         response, end_to_end_headers(headers), progress, hold, is_end_certain
@@ -326,6 +331,7 @@
     headers: RawHeaders,
     writer: ResponseWriter,
     progress: StreamProgress,
+    hold: Hold,
     is_end_certain: EndCheck = _always_true,
 ) -> AttemptResult:
     splitter = EventSplitter()
@@ -333,6 +339,11 @@
         complete = splitter.feed(chunk)
         if splitter.incomplete_bytes > EVENT_MAX_BYTES:
             return Failed(Code.UPSTREAM_BAD_ANSWER, "an event exceeds 1 MiB")
+        if not hold.try_hold_event(splitter.incomplete_bytes):
+            return Failed(
+                Code.UPSTREAM_BAD_ANSWER,
+                "an event exceeds what this entry may hold for all streams",
+            )
         if not complete:
             continue
         # The attempt may be cancelled here. The shield ensures that each event recorded
--- a/tests/test_gateway_endless.py
+++ b/tests/test_gateway_endless.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import gc
 import time
+from functools import partial
 
 import pytest
 import trio
@@ -18,7 +20,8 @@
     stream_events,
     stream_head,
 )
-from mustardfront.programs._held import HeldBytes
+from mustardfront.programs._held import EVENT_FREE_BYTES, HELD_MAX_BYTES, HeldBytes
+from mustardfront.programs.gateway._attempt import EVENT_MAX_BYTES
 from mustardfront.programs.gateway._sse import EventSplitter
 
 PIECE = b"x" * 4096
@@ -211,3 +214,37 @@
     assert not held.try_hold(5)
     held.release(6)
     assert held.try_hold(10)
+
+
+STREAMS = 40
+UNFINISHED_EVENT = b"data: " + b"x" * (EVENT_MAX_BYTES - 100_000)
+
+
+async def send_unfinished_event(request, conn):
+    await conn.send_all(stream_head(request))
+    await conn.send_all(encode_chunk(UNFINISHED_EVENT))
+    await trio.sleep_forever()
+
+
+def buffered_event_bytes() -> int:
+    splitters = [one for one in gc.get_objects() if isinstance(one, EventSplitter)]
+    return sum(one.incomplete_bytes for one in splitters)
+
+
+async def test_unfinished_events_of_many_streams_are_bounded_together():
+    """Guards against a faulty version of upstreams that fills the entry's memory."""
+    faulty = FakeUpstream([send_unfinished_event])
+    async with gateway({"u1": faulty}) as gw, trio.open_nursery() as nursery:
+        headers = {"x-deadline-ms": "1500"}
+        send = partial(send_request, gw, "/once/x", headers=headers)
+        for _ in range(STREAMS):
+            nursery.start_soon(send)
+        most = 0
+        for _ in range(60):
+            await trio.sleep(0.02)
+            most = max(most, buffered_event_bytes())
+        assert faulty.requests
+        nursery.cancel_scope.cancel()
+    # The limit on bodies of an entry by default, and what is always held of a stream.
+    assert most <= HELD_MAX_BYTES / 4 + STREAMS * EVENT_FREE_BYTES
+    assert gw.frontend.forwarder.held.event_bytes == 0
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -16,6 +16,7 @@
     stream_events,
     stream_head,
 )
+from mustardfront.programs._held import HeldBytes, Hold
 from mustardfront.programs.gateway._attempt import StreamProgress, _forward_stream
 from mustardfront.programs.gateway._reply import ResponseWriter
 
@@ -153,9 +154,10 @@
         sent.append(message)
 
     progress = StreamProgress(b"")
+    hold = Hold(HeldBytes())
     with trio.CancelScope() as scope:
         await _forward_stream(
-            Response(), (), ResponseWriter(send, lambda: False), progress
+            Response(), (), ResponseWriter(send, lambda: False), progress, hold
         )
     assert progress.last_event_id == b"2"
     assert sent[-1]["body"] == encode_events(1, 3)
