--- a/specs/timed_switch.py
+++ b/specs/timed_switch.py
@@ -127,11 +127,12 @@
     return z3.And([now[f"prep{rank}"] == version for rank in RANKS])
 
 
-def _is_new(now: State, version: int) -> Formula:
+def is_new(now: State, version: int) -> Formula:
+    """Return whether a version is in force at no rank."""
     return z3.And([now[f"map{rank}"] != version for rank in RANKS])
 
 
-def _is_superseded(now: State, version: int) -> Formula:
+def is_superseded(now: State, version: int) -> Formula:
     """Return whether a rank has prepared a higher version."""
     return z3.Or([z3.UGT(now[f"prep{rank}"], version) for rank in RANKS])
 
@@ -140,7 +141,8 @@
     return z3.And([now[f"arm{rank}"] == 0 for rank in RANKS])
 
 
-def _all_armed(now: State, version: int, step: int) -> Formula:
+def all_armed(now: State, version: int, step: int) -> Formula:
+    """Return whether all ranks are armed for a version and a step."""
     return z3.And(
         [
             z3.And(now[f"arm{rank}"] == version, now[f"at{rank}"] == step)
@@ -149,7 +151,8 @@
     )
 
 
-def _is_held(now: State, step: int) -> Formula:
+def is_held(now: State, step: int) -> Formula:
+    """Return whether a rank is held at a step."""
     return z3.Or([now[f"held{holder}"] == step for holder in HOLDERS])
 
 
@@ -198,9 +201,9 @@
     proposed the version itself and so knows that no order to arm it was sent.
     """
     sent = f"a{version}{step}"
-    is_held = _is_held(now, step)
+    may_be_armed = is_held(now, step)
     if defect == "no-hold":
-        is_held = z3.UGT(step, now["step"])
+        may_be_armed = z3.UGT(step, now["step"])
     none_differs = [
         z3.Or(
             now[f"arm{rank}"] == 0,
@@ -209,13 +212,13 @@
         for rank in RANKS
     ]
     others = [one for one in STEPS if one != step]
-    no_other_held = z3.And([z3.Not(_is_held(now, one)) for one in others])
+    no_other_held = z3.And([z3.Not(is_held(now, one)) for one in others])
     none_sent = z3.And([z3.Not(now[f"a{version}{one}"]) for one in STEPS])
     return z3.And(
         z3.Not(now[f"x{step}"]),
-        is_held,
+        may_be_armed,
         _all_prepared(now, version),
-        _is_new(now, version),
+        is_new(now, version),
         *none_differs,
         z3.Or(z3.Not(_none_armed(now)), no_other_held, none_sent),
         after[sent],
@@ -230,7 +233,7 @@
     sent = f"b{version}{step}"
     allowed = now[f"a{version}{step}"]
     if defect == "unnoted-arm":
-        allowed = z3.And(_is_held(now, step), _all_prepared(now, version))
+        allowed = z3.And(is_held(now, step), _all_prepared(now, version))
     return z3.And(allowed, after[sent], unchanged_except(now, after, sent))
 
 
@@ -255,7 +258,7 @@
 def _lift(step: int, defect: Defect, now: State, after: State) -> Formula:
     """Let orders to arm for a step be sent again, unless it was given up."""
     is_released = z3.Or([now[f"r{holder}{step}"] for holder in HOLDERS])
-    is_given_up = z3.And(is_released, _never_sent(now, step))
+    is_given_up = z3.And(is_released, never_sent(now, step))
     if defect == "late-lift":
         is_given_up = z3.BoolVal(False)
     return z3.And(
@@ -265,7 +268,7 @@
     )
 
 
-def _never_sent(now: State, step: int) -> Formula:
+def never_sent(now: State, step: int) -> Formula:
     """Return whether no agent has noted an order to arm for a step."""
     return z3.Not(z3.Or([now[f"a{version}{step}"] for version in VERSIONS]))
 
@@ -273,7 +276,7 @@
 def _order_disarm(version: int, defect: Defect, now: State, after: State) -> Formula:
     """Order the ranks to disarm a superseded version."""
     sent = f"d{version}"
-    allowed = _is_superseded(now, version)
+    allowed = is_superseded(now, version)
     if defect == "live-disarm":
         allowed = z3.BoolVal(True)
     return z3.And(allowed, after[sent], unchanged_except(now, after, sent))
@@ -298,18 +301,18 @@
     if defect == "late-release":
         allowed_steps = list(STEPS)
     allowed = z3.Or(
-        [_all_armed(now, version, one) for version in VERSIONS for one in allowed_steps]
+        [all_armed(now, version, one) for version in VERSIONS for one in allowed_steps]
     )
     if defect == "unchecked-release":
         allowed = z3.BoolVal(True)
     if defect == "idle-release":
         # No version that all ranks have prepared remains to be armed.
         armable = z3.Or(
-            [z3.And(_all_prepared(now, one), _is_new(now, one)) for one in VERSIONS]
+            [z3.And(_all_prepared(now, one), is_new(now, one)) for one in VERSIONS]
         )
         allowed = z3.Or(allowed, z3.And(_none_armed(now), z3.Not(armable)))
     is_revoked = z3.Or(now[f"x{step}"], defect == "unrevoked-release")
-    allowed = z3.Or(allowed, z3.And(is_revoked, _never_sent(now, step)))
+    allowed = z3.Or(allowed, z3.And(is_revoked, never_sent(now, step)))
     held = now[f"held{holder}"] == step
     return z3.And(held, allowed, after[sent], unchanged_except(now, after, sent))
 
@@ -349,96 +352,3 @@
 def one_map(state: State) -> Formula:
     """Return whether all ranks have the same map in force."""
     return z3.And([state[f"map{rank}"] == state["map0"] for rank in RANKS])
-
-
-def inductive_invariant(state: State) -> Formula:
-    """Return ``one_map`` with the conditions that make it inductive."""
-    return z3.And(
-        one_map(state),
-        *[
-            z3.Or(state[f"held{one}"] == 0, z3.UGT(state[f"held{one}"], state["step"]))
-            for one in HOLDERS
-        ],
-        *[_rank_invariant(state, rank) for rank in RANKS],
-        *[_version_invariant(state, version) for version in VERSIONS],
-        *[
-            _release_invariant(state, holder, step)
-            for holder in HOLDERS
-            for step in STEPS
-        ],
-    )
-
-
-def _rank_invariant(state: State, rank: int) -> Formula:
-    """Return whether a rank is armed as ordered, for its prepared version, in time."""
-    arm, at, prep = state[f"arm{rank}"], state[f"at{rank}"], state[f"prep{rank}"]
-    ordered = z3.Or(
-        [
-            z3.And(arm == version, at == step, state[f"a{version}{step}"])
-            for version in VERSIONS
-            for step in STEPS
-        ]
-    )
-    in_time = z3.And(arm == prep, z3.UGT(at, state["step"]), ordered)
-    return z3.And(
-        z3.ULE(state[f"map{rank}"], prep),
-        z3.Or(arm == 0, z3.And(in_time, arm != state[f"map{rank}"])),
-    )
-
-
-def _version_invariant(state: State, version: int) -> Formula:
-    """Return the conditions that the orders about a version imply.
-
-    An order to arm was sent only once all ranks had prepared the version, and for one
-    step only. The group stays held at that step until the version is in force, armed on
-    all ranks, or superseded on all ranks.
-    """
-    steps = [state[f"a{version}{step}"] for step in STEPS]
-    sent = z3.Or(steps)
-    all_prepared_it = z3.And([z3.UGE(state[f"prep{rank}"], version) for rank in RANKS])
-    superseded_everywhere = z3.And(
-        [z3.UGT(state[f"prep{rank}"], version) for rank in RANKS]
-    )
-    in_force = z3.Not(_is_new(state, version))
-    held_or_armed = z3.Or(
-        [
-            z3.And(
-                state[f"a{version}{step}"],
-                z3.UGT(step, state["step"]),
-                z3.Or(_is_held(state, step), _all_armed(state, version, step)),
-            )
-            for step in STEPS
-        ]
-    )
-    noted_before_direct = [
-        z3.Implies(state[f"b{version}{step}"], state[f"a{version}{step}"])
-        for step in STEPS
-    ]
-    return z3.And(
-        *noted_before_direct,
-        z3.Implies(state[f"d{version}"], _is_superseded(state, version)),
-        z3.Implies(sent, z3.And(all_prepared_it, z3.AtMost(*steps, 1))),
-        z3.Implies(sent, z3.Or(superseded_everywhere, in_force, held_or_armed)),
-        z3.Implies(in_force, sent),
-    )
-
-
-def _release_invariant(state: State, holder: int, step: int) -> Formula:
-    """Return whether a released step has begun, or nothing mixed can happen at it.
-
-    All ranks switch at it or later, or no rank can ever be armed for it.
-    """
-    armed_in_time = [
-        _all_armed(state, version, one)
-        for version in VERSIONS
-        for one in STEPS
-        if one >= step
-    ]
-    return z3.Implies(
-        state[f"r{holder}{step}"],
-        z3.Or(
-            z3.UGE(state["step"], step),
-            z3.And(state[f"x{step}"], _never_sent(state, step)),
-            *armed_in_time,
-        ),
-    )
--- a/tests/test_timed_switch_spec.py
+++ b/tests/test_timed_switch_spec.py
@@ -10,6 +10,7 @@
 import z3
 from specs import timed_switch as spec
 from specs._bmc import check, prove, reaches
+from specs.timed_switch_proof import inductive_invariant
 
 # Enough steps for two proposals whose orders arrive after their coordinator has ended.
 SEARCH_DEPTH = 15
@@ -18,7 +19,7 @@
 
 
 def test_ranks_never_have_different_maps():
-    report = prove(replace(spec.make_model(), invariant=spec.inductive_invariant))
+    report = prove(replace(spec.make_model(), invariant=inductive_invariant))
     assert report.proved, report.describe()
 
 
@@ -31,7 +32,7 @@
 @pytest.mark.parametrize("defect", spec.DEFECTS)
 def test_defect_breaks_the_proof(defect):
     model = spec.make_model(defect)
-    report = prove(replace(model, invariant=spec.inductive_invariant))
+    report = prove(replace(model, invariant=inductive_invariant))
     assert not report.proved, report.describe()
 
 
