--- a/review/third/case.py
+++ b/review/third/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 import traceback
@@ -37,14 +38,19 @@
             loop.default_exception_handler(context)
 
     async def run() -> bool:
-        asyncio.get_running_loop().set_exception_handler(ignore_cancelled)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(ignore_cancelled)
+        # So that a case that is ended early ends what it has started.
+        task = asyncio.current_task()
+        assert task is not None
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory() as name:
             async with asyncio.timeout(CASE_MAX_S):
                 return await body(record, Path(name), is_troubled)
 
     try:
         code = BROKEN if asyncio.run(run()) else HELD
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         record.write("could not run", text=traceback.format_exc())
         traceback.print_exc()
         code = COULD_NOT_RUN
