--- a/review/13/case.py
+++ b/review/13/case.py
@@ -10,12 +10,12 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from third.case import CannotRunError, run_case
-from third.clients import Result, send_request
-from third.processes import BOUNDS, Entry, operator_config
-from third.record import Record
-from third.store import Store
-from third.workers import Worker, answer_after
+from third_case import CannotRunError, run_case
+from third_clients import Result, send_request
+from third_processes import BOUNDS, Entry, operator_config
+from third_record import Record
+from third_store import Store
+from third_workers import Worker, answer_after
 
 WORK_S = 0.045
 SEND_EVERY_S = 0.025
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,7 +6,7 @@
 python3 -B - <<'PYTHON'
 from pathlib import Path
 
-for folder in ("third", "11", "12", "13", "14", "15"):
-    for path in sorted(Path(folder).glob("*.py")):
+for pattern in ("third_*.py", "1[1-5]/*.py"):
+    for path in sorted(Path().glob(pattern)):
         compile(path.read_bytes(), str(path), "exec")
 PYTHON
--- a/review/third/case.py
+++ b/review/third_case.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import Any
 
-from .record import Record
+from third_record import Record
 
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 CASE_MAX_S = 110.0
--- a/review/third/clients.py
+++ b/review/third_clients.py
@@ -5,8 +5,8 @@
 import asyncio
 from dataclasses import dataclass
 
-from .http1 import Message, read_message
-from .record import Record
+from third_http1 import Message, read_message
+from third_record import Record
 
 HOST = "ficu95.example"
 KEY = "n2ctnfzs989anu6wsjnb"
--- a/review/third/connections.py
+++ b/review/third_connections.py
@@ -4,10 +4,10 @@
 
 import asyncio
 
-from .clients import Result, send_request
-from .http1 import read_message
-from .processes import BOUNDS, METRICS_PORT, Entry
-from .record import Record
+from third_clients import Result, send_request
+from third_http1 import read_message
+from third_processes import BOUNDS, METRICS_PORT, Entry
+from third_record import Record
 
 TRYING = 8
 TRY_EVERY_S = 0.25
--- a/review/third/processes.py
+++ b/review/third_processes.py
@@ -13,10 +13,10 @@
 from pathlib import Path
 from typing import Any
 
-from .clients import HOST, KEY
-from .record import Record
+from third_clients import HOST, KEY
+from third_record import Record
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 READY_MAX_S = 25.0
 BOUNDS: dict[str, Any] = {
     "seedLagS": 3,
--- a/review/third/store.py
+++ b/review/third_store.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from .http1 import Message, encode_json, read_message
+from third_http1 import Message, encode_json, read_message
 
 ANSWER_S = 0.004
 LEASE_CHECK_S = 0.1
--- a/review/third/workers.py
+++ b/review/third_workers.py
@@ -7,9 +7,9 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from .http1 import Message, encode_json, encode_response, read_body, read_head
-from .record import Record
-from .store import Store
+from third_http1 import Message, encode_json, encode_response, read_body, read_head
+from third_record import Record
+from third_store import Store
 
 HEARTBEAT_S = 1.2
 SEAL = "3e1b.07.5a2"
